Refuse requests whose head leaves the end of their body unclear

net/http takes a head with both Content-Length and Transfer-Encoding by the latter, tells nobody, and reads the rest of the declared body as the next request. Heads are now read on the way to the server: one message at a time is handed over, and both headers, Transfer-Encoding in HTTP/1.0, folded lines and repeated lengths get 400 and a close. A chunked body is the last on its connection.

Ruled out: the module (it sees no bodies), the wording of attempts (one length each), resending (one write an attempt).

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -43,6 +43,7 @@
 	loop     *loop
 	names    settings.Settings
 	log      *slog.Logger
+	complain *limited
 	most     int64 // requests at once
 	inFlight atomic.Int64
 	crowded  int         // so many connections that idle ones give way and answers close theirs
@@ -55,7 +56,7 @@
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+	return &front{loop: l, names: names, log: log, complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]time.Time{}}
 }
 
@@ -69,6 +70,7 @@
 		MaxHeaderBytes:    headMost,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         f.track,
+		ConnContext:       withFramed,
 	}
 }
 
@@ -115,6 +117,14 @@
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
+	if h := framing(hr); h.trouble != "" {
+		f.complain.warn("request refused for its framing", "trouble", h.trouble, "from", hr.RemoteAddr)
+		w.Header().Set("Connection", "close") // nobody can tell where the next request would begin
+		http.Error(w, h.trouble, http.StatusBadRequest)
+		return
+	} else if h.last {
+		w.Header().Set("Connection", "close")
+	}
 	switch hr.URL.Path {
 	case "/health/ready":
 		f.health(w, f.loop.ready.Load() && !f.leaving.Load())
@@ -141,6 +151,14 @@
 	f.serve(w, hr.Context(), r)
 }
 
+// framing returns what the head of a request says of its end.
+func framing(hr *http.Request) head {
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+		return c.take()
+	}
+	return head{}
+}
+
 func (f *front) health(w http.ResponseWriter, ok bool) {
 	status, text := http.StatusOK, "ok\n"
 	if !ok {
--- /dev/null
+++ b/internal/node/framing.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// lineMost bounds a line of a head; the HTTP server bounds the whole.
+const lineMost = 2 * headMost
+
+// framedConn hands the HTTP server one message at a time and judges how the head of each says where it ends.
+//
+// net/http takes a head that gives both Content-Length and Transfer-Encoding by the latter, says so to nobody
+// and reads on: what the sender meant as the rest of the body is then taken for a request of its own. It also
+// overlooks Transfer-Encoding in HTTP/1.0. The handler no longer sees either header, so the head is read here.
+type framedConn struct {
+	net.Conn
+	surplus []byte // read past the end of a head
+	line    []byte // the line of a head so far
+	begun   bool   // the request line has been read
+	next    head   // the head that is coming in
+	left    int64  // bytes of the body to come
+	last    bool   // where this message ends only its reader can tell: no other may follow on the connection
+
+	mu    sync.Mutex
+	heads []head // that the handler has not taken; more than one only of a peer that does not wait for answers
+}
+
+// head is what a message's head says of the message's end.
+type head struct {
+	old     bool // HTTP/1.0
+	coded   bool // Transfer-Encoding is given
+	sized   bool // Content-Length is given
+	size    int64
+	last    bool   // no other message may follow
+	trouble string // why it can't be served; "" if it can
+}
+
+func (c *framedConn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if c.left > 0 && !c.last {
+		p = p[:min(int64(len(p)), c.left)]
+	}
+	var n int
+	var err error
+	if len(c.surplus) > 0 {
+		n = copy(p, c.surplus)
+		c.surplus = c.surplus[n:]
+	} else {
+		c.surplus = nil
+		n, err = c.Conn.Read(p)
+	}
+	switch {
+	case c.last:
+	case c.left > 0:
+		c.left -= int64(n)
+	default:
+		if used := c.scan(p[:n]); used < n {
+			c.surplus = append(bytes.Clone(p[used:n]), c.surplus...)
+			n = used
+		}
+	}
+	return n, err
+}
+
+// scan follows a head and returns how many of the bytes belong to it.
+func (c *framedConn) scan(p []byte) int {
+	for i, b := range p {
+		if b != '\n' && len(c.line) < lineMost {
+			c.line = append(c.line, b)
+			continue
+		}
+		line := strings.TrimSuffix(string(c.line), "\r")
+		c.line = c.line[:0]
+		switch {
+		case !c.begun:
+			c.begun, c.next.old = line != "", strings.HasSuffix(line, " HTTP/1.0")
+		case line != "":
+			c.next.field(line)
+		default:
+			c.finish()
+			return i + 1
+		}
+	}
+	return len(p)
+}
+
+// finish takes a head as complete.
+func (c *framedConn) finish() {
+	h := c.next
+	if h.coded && h.trouble == "" {
+		switch {
+		case h.sized:
+			h.trouble = "both Content-Length and Transfer-Encoding"
+		case h.old:
+			h.trouble = "Transfer-Encoding in HTTP/1.0"
+		}
+	}
+	h.last = h.coded || h.trouble != ""
+	c.begun, c.next, c.left, c.last = false, head{}, h.size, h.last
+	c.line = nil
+	c.mu.Lock()
+	c.heads = append(c.heads, h)
+	c.mu.Unlock()
+}
+
+// field takes in one line of a head.
+func (h *head) field(line string) {
+	if line[0] == ' ' || line[0] == '\t' {
+		h.trouble = "a folded line" // which parsers read differently
+		return
+	}
+	name, value, _ := strings.Cut(line, ":")
+	switch {
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		h.coded = true
+	case strings.EqualFold(name, "Content-Length"):
+		size, err := strconv.ParseUint(strings.Trim(value, " \t"), 10, 63)
+		if h.sized || err != nil {
+			h.trouble = "Content-Length is not one number"
+		}
+		h.sized, h.size = true, int64(size)
+	}
+}
+
+// take returns the head of the request that the handler serves now. Without one the server has found a request
+// where none began.
+func (c *framedConn) take() head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.heads) == 0 {
+		return head{last: true, trouble: "no head"}
+	}
+	h := c.heads[0]
+	c.heads = c.heads[1:]
+	return h
+}
+
+// framedKey finds the connection of a request in its context.
+type framedKey struct{}
+
+func withFramed(ctx context.Context, c net.Conn) context.Context {
+	if b, ok := c.(*boundedConn); ok {
+		return context.WithValue(ctx, framedKey{}, b.framed)
+	}
+	return ctx
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,8 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &boundedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}, nil
+	framed := &framedConn{Conn: c}
+	return &boundedConn{Conn: framed, framed: framed, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}, nil
 }
 
 func (l *boundedListener) Close() error {
@@ -200,6 +201,7 @@
 
 type boundedConn struct {
 	net.Conn
+	framed  *framedConn
 	release func()
 }
 
