--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -592,9 +592,9 @@
 	}
 }
 
-// The lines that the on-call page names are the lines that exist.
+// The lines that the README names are the lines that exist.
 func TestLogLines(t *testing.T) {
-	page, err := os.ReadFile("../docs/ONCALL.md")
+	page, err := os.ReadFile("../README.md")
 	if err != nil {
 		t.Fatal(err)
 	}
