Reread the configuration on SIGHUP and follow discovery to its new address

Nothing heeded the signal, so it ended the program. It is now caught first of all; the file is read again, a call under way at the old address is given up and the whole list read at the new one. A bad file is logged and changes nothing.

Ruled out: a panic (no trace in the log, exit code 129 is the signal's) and memory (11 of 64 MB).

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"glencart/internal/node"
@@ -24,20 +25,45 @@
 }
 
 func run() error {
-	cfg, err := node.LoadConfig(os.Getenv("BALANCER_CONFIG"))
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // first of all: unheeded, it ends the program
+	defer signal.Stop(hup)
+	path := os.Getenv("BALANCER_CONFIG")
+	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
 	}
 	limit(cfg.Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	n, err := node.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	var wg sync.WaitGroup
+	defer func() { stop(); wg.Wait() }()
+	wg.Go(func() { reloadOn(ctx, hup, path, n, log) })
 	return n.Run(ctx)
 }
 
+// reloadOn reads the configuration again at each signal, until ctx ends. One that can't be read changes nothing.
+func reloadOn(ctx context.Context, hup <-chan os.Signal, path string, n *node.Node, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg, err := node.LoadConfig(path)
+		if err != nil {
+			log.Error("configuration not replaced", "error", err)
+			continue
+		}
+		n.Reload(cfg)
+	}
+}
+
 // limit fits the runtime into the machine. The collector starts seldom, and works harder where memory is short.
 func limit(l node.Limits) {
 	if l.Cores > 0 {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"glencart/balance"
@@ -100,7 +101,6 @@
 
 // discovery keeps the loop's list of backends up to date.
 type discovery struct {
-	url   string
 	names settings.Settings
 	http  *http.Client
 	log   *slog.Logger
@@ -108,6 +108,10 @@
 	news  func(List)    // takes in a list
 	lost  func()        // a call failed
 
+	mu    sync.Mutex
+	url   string
+	moved chan struct{} // closed when url changes; then there is a new one
+
 	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
 	// lists are pushed, and the node follows on its own.
 	asked chan balance.ActionKind
@@ -115,7 +119,7 @@
 
 func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
 	d := &discovery{
-		url: "http://" + addr + "/registry/instances", names: names, log: log, wait: watchWait, news: news, lost: lost,
+		url: registryURL(addr), moved: make(chan struct{}), names: names, log: log, wait: watchWait, news: news, lost: lost,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
@@ -134,6 +138,27 @@
 	return d
 }
 
+func registryURL(addr string) string { return "http://" + addr + "/registry/instances" }
+
+// move has discovery asked at another address from now on. A call that is under way at the old one is given up:
+// nothing more is learned there.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if url := registryURL(addr); url != d.url {
+		d.url = url
+		close(d.moved)
+		d.moved = make(chan struct{})
+	}
+}
+
+// where tells at which URL discovery is now, and what is closed when it moves.
+func (d *discovery) where() (url string, moved <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.url, d.moved
+}
+
 // ask passes on what the module wants of discovery. It never blocks.
 func (d *discovery) ask(kind balance.ActionKind) {
 	select {
@@ -160,7 +185,7 @@
 				watch = kind == balance.Watch
 			}
 		}
-		heard, err := d.follow(ctx, watch)
+		heard, err := d.followMoves(ctx, watch)
 		if ctx.Err() != nil || err == nil {
 			continue
 		}
@@ -175,11 +200,39 @@
 	}
 }
 
+// followMoves follows discovery from one address to the next until a call fails.
+func (d *discovery) followMoves(ctx context.Context, watch bool) (heard bool, err error) {
+	for {
+		url, moved := d.where()
+		here, leave := context.WithCancel(ctx)
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			select {
+			case <-moved:
+				leave()
+			case <-stop:
+			}
+		})
+		h, err := d.follow(here, url, watch)
+		close(stop)
+		wg.Wait()
+		left := here.Err() != nil
+		leave()
+		heard = heard || h
+		if !left || ctx.Err() != nil {
+			return heard, err
+		}
+		d.http.CloseIdleConnections()
+		d.log.Info("discovery moved: reading the whole list there")
+	}
+}
+
 // follow reads the whole list and then, if it is to watch, the changes until a call fails.
-func (d *discovery) follow(ctx context.Context, watch bool) (heard bool, err error) {
+func (d *discovery) follow(ctx context.Context, url string, watch bool) (heard bool, err error) {
 	query, within, after := "", callSlack, int64(math.MinInt64)
 	for ctx.Err() == nil {
-		list, err := d.call(ctx, query, within)
+		list, err := d.call(ctx, url+query, within)
 		if err != nil {
 			return heard, err
 		}
@@ -213,10 +266,10 @@
 	}
 }
 
-func (d *discovery) call(ctx context.Context, query string, within time.Duration) (List, error) {
+func (d *discovery) call(ctx context.Context, url string, within time.Duration) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return List{}, err
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -213,3 +213,33 @@
 		}
 	}
 }
+
+// When discovery moves, the whole list is read at the new address at once, though the old one holds a call open,
+// and what comes from there is watched. The old one is not asked again.
+func TestDiscoveryMoves(t *testing.T) {
+	for _, onBehalf := range []bool{false, true} {
+		before := newRegistry(t, listText(90, true, listed{"s", "127.0.0.1:1", "ready", 0}))
+		after := newRegistry(t, listText(3, true, listed{"s", "127.0.0.1:2", "ready", 0}))
+		var d *discovery
+		lists, lost := followed(t, before.addr, func(made *discovery) {
+			d = made
+			if onBehalf {
+				d.asked = make(chan balance.ActionKind, 16)
+				d.asked <- balance.Watch
+			}
+		})
+		receive(t, "the first list", lists)
+		eventually(t, "a watch", func() bool { return len(before.asked()) > 1 })
+		d.move(after.addr)
+		l := awaitList(t, "the list at the new address", lists, func(l List) bool { return l.Complete })
+		if l.Revision != 3 || l.Members[0].Addr != "127.0.0.1:2" {
+			t.Errorf("got %+v", l)
+		}
+		asked := len(before.asked())
+		after.next <- listText(4, false, listed{"s", "127.0.0.1:2", "draining", 0})
+		awaitList(t, "a change there", lists, func(l List) bool { return l.Revision == 4 })
+		if n := len(before.asked()); n != asked || lost.Load() != 0 {
+			t.Errorf("the old address was asked %d times more, %d calls failed", n-asked, lost.Load())
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,13 @@
 // Addr is the address that the node listens on for clients.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
+// Reload takes in a configuration that has replaced the node's own while it runs: discovery may have moved. All
+// else is fixed at the start.
+func (n *Node) Reload(cfg Config) {
+	n.log.Info("configuration replaced", "discovery", cfg.Discovery)
+	n.disco.move(cfg.Discovery)
+}
+
 // Run serves until ctx ends, then answers all that it has taken and returns.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
