--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -43,11 +43,12 @@
 	pool     *pool
 	host     string
 	inline   bool // answers carry load reports
-	complain *limited
+	complain *limited // of load reports
+	failing  *limited // of attempts without a whole answer
 }
 
 func newExchanges(p *pool, inline bool, log *slog.Logger) *exchanges {
-	return &exchanges{pool: p, inline: inline, complain: &limited{log: log}}
+	return &exchanges{pool: p, inline: inline, complain: &limited{log: log}, failing: &limited{log: log}}
 }
 
 // message is what a client asked for, as it goes on to backends.
@@ -107,6 +108,7 @@
 	case errors.Is(err, errNoRoom):
 		return result{status: balance.Unused} // says nothing of the backend
 	case err != nil:
+		x.failed(ctx, to, "no connection", err)
 		return result{status: balance.DialFailed}
 	}
 	text, err := m.wire(to.addr, time.Until(deadline))
@@ -120,6 +122,7 @@
 	cn.SetDeadline(deadline)
 	if n, err := cn.Write(text); err != nil {
 		x.pool.discard(cn)
+		x.failed(ctx, to, "not written", err)
 		if n < len(text) {
 			return result{status: balance.DialFailed} // the last byte never left
 		}
@@ -128,6 +131,7 @@
 	resp, body, err := cn.answer(m.method)
 	if err != nil {
 		x.pool.discard(cn)
+		x.failed(ctx, to, "no whole answer", err)
 		return result{status: x.broken(ctx, err)}
 	}
 	if resp.Close || cn.read.Buffered() > 0 || !stop() {
@@ -143,6 +147,14 @@
 	return r
 }
 
+// failed logs, at a bounded rate, why an attempt got no whole answer; of one that was cancelled there is nothing
+// to tell.
+func (x *exchanges) failed(ctx context.Context, to endpoint, what string, err error) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		x.failing.warn("attempt failed: "+what, "backend", to.addr, "error", err)
+	}
+}
+
 // broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
 func (x *exchanges) broken(ctx context.Context, err error) balance.Status {
 	switch {
