--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -42,7 +42,7 @@
 type exchanges struct {
 	pool     *pool
 	host     string
-	inline   bool // answers carry load reports
+	inline   bool     // answers carry load reports
 	complain *limited // of load reports
 	failing  *limited // of attempts without a whole answer
 }
