Take a probe's answer as a server's sign of life

One request lost at a server with nothing else out there set its rate of failures to 1, though probes went on answering in 10 ms: for some ten seconds up to five of ten servers got next to nothing, the others 40 ms of queue, and the node refused a quarter of its requests. A delivered probe now counts as a sign, like an answer. What reads a server's signs moves to balance/signs.go.

Ruled out by a trace of each attempt: stale connections (fresh ones lose requests too, old ones go on serving) and answers cut short (not a byte came).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,12 +1,11 @@
 // The interface of this package (Config, Event, Action) is in balance/types.go.
-// This file holds the decisions, but for comeback.go's, and every tuning constant.
+// This file holds the decisions, but for comeback.go's and signs.go's, and every tuning constant.
 
 package balance
 
 import (
 	"cmp"
 	"errors"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -228,6 +227,7 @@
 	case Probed:
 		if s := b.servers[ev.Backend]; s != nil {
 			b.report(s, ev.Load)
+			b.probed(s, ev.Status)
 			if b.pairs < pairsMost && s.seen > 0 {
 				b.pairs++
 				gap := cmp.Or(b.refresh, 2*b.peerPace) / 2
@@ -598,15 +598,6 @@
 	return b.cfg.Prices.CrossZone * crossAims * b.meanAim
 }
 
-// silence is how long a server has owed this node an answer without any sign. One that hangs keeps a bearable
-// queue while it takes everything sent to it.
-func (b *Balancer) silence(s *server) float64 {
-	if s.out == 0 {
-		return 0
-	}
-	return (b.now - s.owesAt).Seconds()
-}
-
 // pace is the time for each place in the queue by now: a server that warms up gets quicker.
 func (b *Balancer) pace(s *server) float64 { return b.warmPace(s) / b.warmth(s) }
 
@@ -729,33 +720,6 @@
 	b.peerPace = b.allTime / (b.allDepth + 1)
 }
 
-// judge keeps a server's rate of failures, by this node's own attempts: one that fails fast looks
-// idle to any probe. Cancelled and unsent attempts say nothing.
-func (b *Balancer) judge(s *server, st Status, sent time.Duration) {
-	switch st {
-	case Delivered, Shed:
-		s.fails -= failWeight * s.fails
-		s.owesAt = b.now
-	case Expired:
-		// A try that ran out of time says little while others are answered.
-		if s.out == 0 && s.owesAt <= sent {
-			s.fails = 1 // nothing came back at all
-		}
-	case AppError, Dropped, DialFailed:
-		s.owesAt = b.now
-		s.fails += failWeight * (1 - s.fails)
-	}
-}
-
-// compare sets a server's rate of failures beside that of all, and logs when traffic is withheld.
-func (b *Balancer) compare(s *server) {
-	// What all servers have in common makes none of them an outlier, and is no reason to refuse.
-	b.allFail += failWeight * (s.fails - b.allFail) / float64(len(b.ready)+1)
-	name := fmt.Sprintf("backend %d ", s.Backend)
-	b.state(&s.failed, s.fails > failsHigh, s.fails < failsLow,
-		name+"fails: traffic withheld", name+"answers again")
-}
-
 // report overwrites an entry with what the server says it holds. A report is old: it tells of this
 // node's own part too, so that part is taken off and what is out now stays counted.
 func (b *Balancer) report(s *server, l Load) {
--- /dev/null
+++ b/balance/signs.go
@@ -0,0 +1,52 @@
+package balance
+
+import (
+	"fmt"
+	"time"
+)
+
+// This file tells what a server's signs say of it: its answers, its failures and its silence.
+
+// silence is how long a server has owed this node an answer without any sign. One that hangs keeps a bearable
+// queue while it takes everything sent to it.
+func (b *Balancer) silence(s *server) float64 {
+	if s.out == 0 {
+		return 0
+	}
+	return (b.now - s.owesAt).Seconds()
+}
+
+// probed takes in how a probe ended. An answer is a sign of life: where one request is lost at a server that
+// has little else to answer, only probes tell that it goes on serving.
+func (b *Balancer) probed(s *server, st Status) {
+	if st == Delivered {
+		s.owesAt = b.now
+	}
+}
+
+// judge keeps a server's rate of failures, by this node's own attempts: one that fails fast looks
+// idle to any probe. Cancelled and unsent attempts say nothing.
+func (b *Balancer) judge(s *server, st Status, sent time.Duration) {
+	switch st {
+	case Delivered, Shed:
+		s.fails -= failWeight * s.fails
+		s.owesAt = b.now
+	case Expired:
+		// A try that ran out of time says little while others are answered.
+		if s.out == 0 && s.owesAt <= sent {
+			s.fails = 1 // nothing came back at all
+		}
+	case AppError, Dropped, DialFailed:
+		s.owesAt = b.now
+		s.fails += failWeight * (1 - s.fails)
+	}
+}
+
+// compare sets a server's rate of failures beside that of all, and logs when traffic is withheld.
+func (b *Balancer) compare(s *server) {
+	// What all servers have in common makes none of them an outlier, and is no reason to refuse.
+	b.allFail += failWeight * (s.fails - b.allFail) / float64(len(b.ready)+1)
+	name := fmt.Sprintf("backend %d ", s.Backend)
+	b.state(&s.failed, s.fails > failsHigh, s.fails < failsLow,
+		name+"fails: traffic withheld", name+"answers again")
+}
