Count a time-out as pressure only where the queue explains it

A request that a server lost ran out of time like one in a jam, and each such time-out cut the part of the slack that queues may take up, so the node refused while its servers had room. The test that late answers already pass now holds for time-outs too: the queue that was met must account for the lateness.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -672,7 +672,7 @@
 	b.judgedAt = b.now
 	step := min(partSpeed*b.gap, partStep) * b.part
 	switch {
-	case st == Expired || st == Delivered && late > 0 && late.Seconds() <= queued:
+	case (st == Expired || st == Delivered) && late > 0 && late.Seconds() <= queued:
 		b.part -= step
 	case st == Delivered && late <= 0:
 		b.part += step / lateOnce
--- a/balance/signs_test.go
+++ b/balance/signs_test.go
@@ -1,6 +1,9 @@
 package balance
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A request that is lost at a server with little else to answer must not cost it its traffic while probes tell
 // that it serves. One that answers nobody, probes included, loses it.
@@ -29,3 +32,29 @@
 		})
 	}
 }
+
+// A request that a server lost while it answered others says nothing of queues: only a time-out that the queue
+// explains may make the node refuse earlier.
+func TestLostRequestsAreNoPressure(t *testing.T) {
+	for name, tc := range map[string]struct {
+		wait float64 // what the queue should have taken, in seconds
+		less bool
+	}{
+		"lost":   {0.02, false},
+		"queued": {0.9, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, site(), member(1, 0, 0))
+			r.serve(300, safe, steady)
+			r.arrive("x", safe)
+			r.b.requests["x"].attempts[0].wait = tc.wait
+			r.serve(5, safe, steady) // signs of life
+			r.wait(time.Second)
+			was := r.b.part
+			r.outcome("x", 0, 1, Expired)
+			if less := r.b.part < was; less != tc.less {
+				t.Errorf("the part of the slack went from %v to %v", was, r.b.part)
+			}
+		})
+	}
+}
