Give a whole request one deadline and close after every error answer

A peer could take 3 s for its head and 3 s more for its body, and the library waited without end for a body that nobody had asked for (bad heads, health calls): no answer, a descriptor held. Head and body now share 2.5 s from connecting, or from the first byte of a later request; an error closes the connection once the answer is out. What little is left of a body is read first: closing on unread bytes is a reset, which made an inherited test fail now and then. "OPTIONS *" is no longer answered 200 by the library.

Without the mend the new test finds closes after 3 and 4.2 s and one that never comes.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -24,9 +24,14 @@
 )
 
 const (
-	// headWithin and bodyWithin are how long a client may take to send a head and a body, and idleWithin how
-	// long it may keep a connection without a request.
-	headWithin, bodyWithin, idleWithin = 3 * time.Second, 3 * time.Second, 30 * time.Second
+	// headWithin is how long a client may take to send a head, and messageWithin a whole request, counted from
+	// connecting or from the first byte of a later one: who sends nothing proper has to hear so within 3 s.
+	headWithin, messageWithin = 2 * time.Second, 2500 * time.Millisecond
+	// idleWithin is how long a client may keep a connection without a request.
+	idleWithin = 30 * time.Second
+	// lingerMost is how much of a body is read that nobody wants: closing on unread bytes is a reset, which may
+	// overtake the answer.
+	lingerMost = 4 * bodyMost
 	// answerWithin is how long a client may take to read its answer.
 	answerWithin = 5 * time.Second
 	// early is how much sooner than the client's deadline a request ends: its way here and the answer's way
@@ -66,11 +71,13 @@
 		Handler:           f,
 		ReadHeaderTimeout: headWithin,
 		IdleTimeout:       idleWithin,
-		WriteTimeout:      bodyWithin + longestDeadline(f.names) + answerWithin,
+		WriteTimeout:      messageWithin + longestDeadline(f.names) + answerWithin,
 		MaxHeaderBytes:    headMost,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         f.track,
 		ConnContext:       withFramed,
+		// "OPTIONS *" is no request of a client either: the library would answer it with 200.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -117,12 +124,15 @@
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
-	if h := framing(hr); h.trouble != "" {
+	h := framing(hr, received)
+	// Set before anything else: what the library does with an unread body would wait for it without end.
+	http.NewResponseController(w).SetReadDeadline(h.since.Add(messageWithin))
+	if h.trouble != "" {
 		f.complain.warn("request refused for its framing", "trouble", h.trouble, "from", hr.RemoteAddr)
-		w.Header().Set("Connection", "close") // nobody can tell where the next request would begin
-		http.Error(w, h.trouble, http.StatusBadRequest)
+		reject(w, hr, http.StatusBadRequest, h.trouble) // nobody can tell where the next request would begin
 		return
-	} else if h.last {
+	}
+	if h.last {
 		w.Header().Set("Connection", "close")
 	}
 	switch hr.URL.Path {
@@ -142,21 +152,26 @@
 	defer f.inFlight.Add(-1)
 	r, status, err := f.read(w, hr, received)
 	if err != nil {
-		if status >= http.StatusRequestTimeout {
-			w.Header().Set("Connection", "close") // the rest of the body is of no use
-		}
-		http.Error(w, err.Error(), status)
+		reject(w, hr, status, err.Error())
 		return
 	}
 	f.serve(w, hr.Context(), r)
 }
 
 // framing returns what the head of a request says of its end.
-func framing(hr *http.Request) head {
+func framing(hr *http.Request, received time.Time) head {
 	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
 		return c.take()
 	}
-	return head{}
+	return head{since: received}
+}
+
+// reject answers what can't be served, and ends the connection: the rest of the body is of no use.
+func reject(w http.ResponseWriter, hr *http.Request, status int, text string) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, text, status)
+	http.NewResponseController(w).Flush()
+	io.CopyN(io.Discard, hr.Body, lingerMost)
 }
 
 func (f *front) health(w http.ResponseWriter, ok bool) {
@@ -288,8 +303,6 @@
 	if hr.ContentLength > bodyMost {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
 	}
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(received.Add(bodyWithin))
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, bodyMost))
 	if err != nil {
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
@@ -298,7 +311,7 @@
 		return nil, http.StatusRequestTimeout, errors.New("body cut short")
 	}
 	// A deadline that passes while the request is served would look as if the client had gone.
-	rc.SetReadDeadline(time.Time{})
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			h.Del(strings.TrimSpace(name))
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // lineMost bounds a line of a head; the HTTP server bounds the whole.
@@ -36,8 +37,9 @@
 	coded   bool // Transfer-Encoding is given
 	sized   bool // Content-Length is given
 	size    int64
-	last    bool   // no other message may follow
-	trouble string // why it can't be served; "" if it can
+	last    bool      // no other message may follow
+	trouble string    // why it can't be served; "" if it can
+	since   time.Time // its first byte, or the start of the connection for the first one
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
@@ -71,6 +73,9 @@
 
 // scan follows a head and returns how many of the bytes belong to it.
 func (c *framedConn) scan(p []byte) int {
+	if len(p) > 0 && c.next.since.IsZero() {
+		c.next.since = time.Now()
+	}
 	for i, b := range p {
 		if b != '\n' && len(c.line) < lineMost {
 			c.line = append(c.line, b)
@@ -135,7 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.heads) == 0 {
-		return head{last: true, trouble: "no head"}
+		return head{last: true, trouble: "no head", since: time.Now()}
 	}
 	h := c.heads[0]
 	c.heads = c.heads[1:]
--- /dev/null
+++ b/internal/node/improper_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/settings"
+)
+
+// pipeListener hands out connections that live in memory.
+type pipeListener struct {
+	conns chan net.Conn
+	once  sync.Once
+	ended chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial returns the client's end of a new connection.
+func (l *pipeListener) dial() net.Conn {
+	c, s := net.Pipe()
+	l.conns <- s
+	return c
+}
+
+// inMemory runs the client side of a node on connections in memory; it serves no request.
+func inMemory(t *testing.T) *pipeListener {
+	t.Helper()
+	names := settings.Settings{Classes: []string{"order"}, Config: balance.Config{
+		Classes: []balance.Class{{Deadline: time.Second}}}}
+	f := newFront(newLoop(nil, nil, quiet()), names, 64, quiet())
+	l := &pipeListener{conns: make(chan net.Conn), ended: make(chan struct{})}
+	srv := f.server()
+	ended := make(chan struct{})
+	go func() { srv.Serve(limitListener(l, 64)); close(ended) }()
+	t.Cleanup(func() { srv.Close(); <-ended })
+	return l
+}
+
+// drip writes a text slowly, a byte a while.
+func drip(w io.Writer, text string, every time.Duration) {
+	for i := range len(text) {
+		if _, err := io.WriteString(w, text[i:i+1]); err != nil {
+			return
+		}
+		time.Sleep(every)
+	}
+}
+
+// Who sends no proper request, or nothing, hears an error or a close within 3 s of connecting, and leaves nothing
+// behind.
+func TestImproperPeersHearSoInTime(t *testing.T) {
+	proper := "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"
+	nameless := "POST /api/x HTTP/1.1\r\nHost: x\r\n"
+	all := func(text string) func(net.Conn) {
+		return func(c net.Conn) { io.WriteString(c, text) }
+	}
+	for name, send := range map[string]func(net.Conn){
+		"nothing":                 func(net.Conn) {},
+		"half a head":             all("POST /api/x HTTP/1.1\r\nHost"),
+		"a slow head":             func(c net.Conn) { drip(c, proper+"\r\n", 100*time.Millisecond) },
+		"no body":                 all(proper + "Content-Length: 10\r\n\r\n"),
+		"half a body":             all(proper + "Content-Length: 10\r\n\r\nhello"),
+		"a body after a slow one": func(c net.Conn) { drip(c, proper, 20*time.Millisecond); all("Content-Length: 9\r\n\r\n")(c) },
+		"a slow body": func(c net.Conn) {
+			drip(c, proper+"Content-Length: 90\r\n\r\n"+strings.Repeat("x", 90), 15*time.Millisecond)
+		},
+		"chunks without end":       all(proper + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"),
+		"bad head, no body":        all(nameless + "Content-Length: 10\r\n\r\n"),
+		"bad head, half a body":    all(nameless + "Content-Length: 10\r\n\r\nhello"),
+		"bad head, chunks":         all(nameless + "Transfer-Encoding: chunked\r\n\r\n"),
+		"both lengths, no body":    all(proper + "Content-Length: 10\r\nTransfer-Encoding: chunked\r\n\r\n"),
+		"health with a body":       all("GET /health/live HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n"),
+		"much too long":            all(proper + "Content-Length: 64000000\r\n\r\n" + strings.Repeat("x", 8<<20)),
+		"asks leave for a body":    all(proper + "Expect: 100-continue\r\nContent-Length: 10\r\n\r\n"),
+		"asks leave, is nameless":  all(nameless + "Expect: 100-continue\r\nContent-Length: 10\r\n\r\n"),
+		"the server's own options": all("OPTIONS * HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := inMemory(t)
+				began := time.Now()
+				c := l.dial()
+				sent := make(chan struct{})
+				go func() { send(c); close(sent) }()
+				// The first byte of an answer counts as heard, but for an interim one; the rest must end as well.
+				text, _ := io.ReadAll(c)
+				if d := time.Since(began); d >= 3*time.Second {
+					t.Errorf("the node closed only after %v", d)
+				}
+				answer := strings.TrimPrefix(string(text), "HTTP/1.1 100 Continue\r\n\r\n")
+				if strings.HasPrefix(answer, "HTTP/1.1 200") && name != "health with a body" {
+					t.Errorf("answered as if it had run: %.60q", answer)
+				}
+				c.Close()
+				<-sent
+			})
+		})
+	}
+}
+
+// A peer may take its time between requests, and each request has its own time.
+func TestLaterRequestsHaveTheirOwnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := inMemory(t)
+		c := l.dial()
+		defer c.Close()
+		for range 3 {
+			go io.WriteString(c, "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+			b := make([]byte, 1<<10)
+			n, err := c.Read(b)
+			if err != nil || !strings.HasPrefix(string(b[:n]), "HTTP/1.1 200") {
+				t.Fatalf("answered %q, %v", b[:n], err)
+			}
+			time.Sleep(2 * messageWithin)
+		}
+	})
+}
+
+// "OPTIONS *" is a question to the server that the library would answer itself.
+func TestNoAnswerIsTheLibrarysOwn(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("") }))
+	status, _ := exchange(t, startOn(t, b.Addr().String()), "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
+	if status < 400 {
+		t.Errorf("answered %d", status)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	framed := &framedConn{Conn: c}
+	framed := &framedConn{Conn: c, next: head{since: time.Now()}}
 	return &boundedConn{Conn: framed, framed: framed, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}, nil
 }
 
