--- a/balance/signs.go
+++ b/balance/signs.go
@@ -50,3 +50,22 @@
 	b.state(&s.failed, s.fails > failsHigh, s.fails < failsLow,
 		name+"fails: traffic withheld", name+"answers again")
 }
+
+// State is what a node may log of its Balancer.
+type State struct {
+	Ready     int     // servers that may be sent to
+	Part      float64 // part of the slack that queues may take up
+	Base      float64 // mean time of an answer without a queue, seconds
+	LeastWait float64 // the shortest wait at a server, seconds; 0 without one
+}
+
+// State returns the present state.
+func (b *Balancer) State() State {
+	st := State{Ready: len(b.ready), Part: b.part, Base: b.meanBase()}
+	for i, s := range b.ready {
+		if w := b.wait(s); i == 0 || w < st.LeastWait {
+			st.LeastWait = w
+		}
+	}
+	return st
+}
--- /dev/null
+++ b/internal/node/counts.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"glencart/balance"
+)
+
+// countEvery is how often the loop logs what it has counted.
+const countEvery = 5 * time.Second
+
+// counts is what the loop has seen since it last told.
+type counts struct {
+	since    time.Duration
+	arrived  int
+	sent     int
+	answers  [doubled + 1]int        // final answers, by kind
+	late     int                     // those at or after the deadline, served ones aside
+	gone     int                     // clients that went away first
+	outcomes [balance.Unused + 1]int // attempts, by status
+	slowest  time.Duration           // the longest that one event kept the loop
+}
+
+// due tells whether it is time to tell.
+func (c *counts) due(now time.Duration) bool { return now-c.since >= countEvery }
+
+// tell logs the counts and begins anew. Nothing is logged for a span without requests.
+func (c *counts) tell(now time.Duration, log *slog.Logger, open int, state balance.State) {
+	if c.arrived+c.sent > 0 {
+		o := &c.outcomes
+		log.Info("counts", "arrived", c.arrived, "open", open, "sent", c.sent, "served", c.answers[served],
+			"refused", c.answers[refused], "failed", c.answers[failed], "late", c.late, "gone", c.gone,
+			"delivered", o[balance.Delivered], "errors", o[balance.AppError], "shed", o[balance.Shed],
+			"expired", o[balance.Expired], "unconnected", o[balance.DialFailed], "dropped", o[balance.Dropped],
+			"revoked", o[balance.Revoked], "unsent", o[balance.Unused], "slowest", c.slowest,
+			"ready", state.Ready, "part", state.Part, "base", state.Base, "least_wait", state.LeastWait)
+	}
+	*c = counts{since: now}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -34,7 +34,8 @@
 	busy    bool
 	actions []balance.Action
 
-	ready atomic.Bool // some backend may be sent to
+	counts counts
+	ready  atomic.Bool // some backend may be sent to
 }
 
 // backend is a backend that discovery has named since the start of the node.
@@ -129,17 +130,25 @@
 			wait = l.timers[0].at - l.now()
 		}
 		alarm.Reset(wait)
+		var began time.Duration
 		select {
 		case <-quit:
 			return
 		case f := <-l.inbox:
+			began = l.now()
 			f()
 		case <-alarm.C:
+			began = l.now()
 		}
 		for now := l.now(); len(l.timers) > 0 && l.timers[0].at <= now; {
 			t := heap.Pop(&l.timers).(timer)
 			l.handle(balance.Event{Kind: balance.Timer, Mark: t.mark})
 		}
+		now := l.now()
+		l.counts.slowest = max(l.counts.slowest, now-began)
+		if l.counts.due(now) {
+			l.counts.tell(now, l.log, len(l.requests), l.bal.State())
+		}
 	}
 }
 
@@ -197,6 +206,7 @@
 		return
 	}
 	l.requests[r.id] = r
+	l.counts.arrived++
 	l.handle(balance.Event{
 		Kind: balance.RequestArrived, Request: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, HasKey: r.hasKey,
 		Budget: max(time.Until(r.deadline), 0), Hint: r.hint, Repeat: r.repeat,
@@ -209,6 +219,7 @@
 		return
 	}
 	r.answered = true
+	l.counts.gone++
 	l.handle(balance.Event{Kind: balance.ClientGone, Request: r.id})
 	l.endAttempts(r, balance.Revoked)
 }
@@ -219,6 +230,7 @@
 		return
 	}
 	n := len(r.attempts)
+	l.counts.sent++
 	at := &attempt{to: b, sent: l.now()}
 	r.attempts = append(r.attempts, at)
 	r.pending++
@@ -245,8 +257,10 @@
 	}
 	at.over = true
 	r.pending--
+	l.counts.outcomes[res.status]++
 	if res.status == balance.Delivered && !r.answered {
 		r.answered = true
+		l.counts.answers[served]++
 		r.reply <- answer{kind: served, body: res.body, contentType: res.contentType}
 	}
 	l.forget(r)
@@ -278,6 +292,10 @@
 	}
 	r.answered = true
 	a.late = !time.Now().Before(r.deadline)
+	l.counts.answers[a.kind]++
+	if a.late {
+		l.counts.late++
+	}
 	r.reply <- a
 	st := balance.Revoked
 	if a.late {
