Bound queues by the slack, and take lost tries as failures, not as pressure

While answers came in time the bound on queues grew to four times the slack in half a minute of calm: half a second of queue was allowed where the aims are 120 and 200 ms. When capacity then fell, every queue filled past its aim before the node refused anything, and crowded backends worked slower still. The bound now never passes the slack.

A try that had three times what its queue and its work take, at a backend that answered others meanwhile, counts as a failure of that backend: with a trace of each attempt, four of ten backends were seen to lose half their requests for ten seconds and to get a hundred a second all the same, since what hung made them look deep and quick.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,7 +51,7 @@
 	// partStep an answer at most, and rests where one in lateOnce is late. One in scoutOnce that would be
 	// refused is sent all the same: its answer shows whether the node is right to refuse.
 	partSpeed, partStep, lateOnce, scoutOnce = 2.0, 0.1, 20, 20
-	partFirst, partLeast, partMost           = 0.3, 0.12, 4.0
+	partFirst, partLeast, partMost           = 0.3, 0.12, 1.0
 	// idleEntry: a server whose entry is no higher is idle. An answer that met freeEntry or less tells the
 	// time without a queue, by baseWeight.
 	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
@@ -479,11 +479,12 @@
 		// fails fast and so looks idle.
 		a.to.stuck++
 	}
-	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding.
-	if ev.Status != Expired || a.to.owesAt > a.at {
+	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding, and so
+	// does one that no queue accounts for.
+	if ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) {
 		b.pressure(ev.Status, b.now-r.arrived-r.class.Aim, a.wait)
 	}
-	b.judge(a.to, ev.Status, a.at)
+	b.judge(a.to, ev.Status, a, ev.Spent)
 	b.compare(a.to)
 	b.report(a.to, ev.Load)
 	if ev.Status == Delivered {
@@ -672,7 +673,7 @@
 	b.judgedAt = b.now
 	step := min(partSpeed*b.gap, partStep) * b.part
 	switch {
-	case (st == Expired || st == Delivered) && late > 0 && late.Seconds() <= queued:
+	case st == Expired || st == Delivered && late > 0 && late.Seconds() <= queued:
 		b.part -= step
 	case st == Delivered && late <= 0:
 		b.part += step / lateOnce
--- a/balance/signs.go
+++ b/balance/signs.go
@@ -16,6 +16,14 @@
 	return (b.now - s.owesAt).Seconds()
 }
 
+// lostQueues times what its queue should take, and the work, is so long for a request that it must be lost.
+const lostQueues = 3
+
+// lost tells whether an attempt that ran out of time must have been lost, at a server that answered others.
+func (b *Balancer) lost(a *attempt, spent time.Duration) bool {
+	return a.to.owesAt > a.at && spent.Seconds() > lostQueues*(a.wait+b.meanBase())
+}
+
 // probed takes in how a probe ended. An answer is a sign of life: where one request is lost at a server that
 // has little else to answer, only probes tell that it goes on serving.
 func (b *Balancer) probed(s *server, st Status) {
@@ -26,15 +34,19 @@
 
 // judge keeps a server's rate of failures, by this node's own attempts: one that fails fast looks
 // idle to any probe. Cancelled and unsent attempts say nothing.
-func (b *Balancer) judge(s *server, st Status, sent time.Duration) {
+func (b *Balancer) judge(s *server, st Status, a *attempt, spent time.Duration) {
 	switch st {
 	case Delivered, Shed:
 		s.fails -= failWeight * s.fails
 		s.owesAt = b.now
 	case Expired:
-		// A try that ran out of time says little while others are answered.
-		if s.out == 0 && s.owesAt <= sent {
+		switch {
+		case s.out == 0 && s.owesAt <= a.at:
 			s.fails = 1 // nothing came back at all
+		case b.lost(a, spent):
+			// A try that ran out of time says little while others are answered, unless it had far more time
+			// than its queue accounts for: then it was lost, and the next may be.
+			s.fails += failWeight * (1 - s.fails)
 		}
 	case AppError, Dropped, DialFailed:
 		s.owesAt = b.now
