Take an attempt that must be lost off its backend's entry at once

An attempt that hung counted as out until its deadline, so that a few of them made an idle backend look full. It is now looked at when three times its queue and work have passed: at a backend that has given signs since, it no longer holds a place, and counts as one failure then instead of at the deadline.

Ruled out for the jam from 175 s: queues (least wait near 0) and a full node (one to six requests open).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -139,10 +139,12 @@
 	streamed bool // the answer has started: it belongs to the client
 }
 
-// timer is what is due then: the end of a request or of its hold, another probe, or a call to discovery.
+// timer is what is due then: the end of a request or of its hold, a look whether an attempt is lost, another
+// probe, or a call to discovery.
 type timer struct {
-	end, hold *request
-	again     *server
+	end, hold, look *request
+	attempt         int // of look
+	again           *server
 }
 
 // attempt is one copy of a request at a server.
@@ -153,6 +155,7 @@
 	wait    float64 // and the time that it took to clear, seconds
 	pending bool
 	mayRun  bool // it may have run, or may still run
+	lost    bool // it must be lost: it counts no more as out
 }
 
 // classStats is what a node has learned of a class.
@@ -274,6 +277,8 @@
 		if slices.Contains(b.held, t.hold) {
 			b.release() // a probe that stays out tells enough
 		}
+	case t.look != nil:
+		b.look(&t.look.attempts[t.attempt])
 	case t.again != nil:
 		if t.again.Phase == Ready {
 			b.do(Action{Kind: Probe, Backend: t.again.Backend})
@@ -463,6 +468,7 @@
 	s.credit -= b.work(r)
 	r.pending++
 	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1})
+	b.watch(r)
 }
 
 func (b *Balancer) onOutcome(ev *Event) {
@@ -473,7 +479,9 @@
 	a := &r.attempts[ev.Attempt]
 	a.pending, a.mayRun = false, !ev.Status.NeverRan()
 	r.pending--
-	a.to.out--
+	if !a.lost {
+		a.to.out--
+	}
 	if ev.Status != Delivered {
 		// Not accepted: it keeps its increment until a report, against a server that
 		// fails fast and so looks idle.
@@ -481,7 +489,7 @@
 	}
 	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding, and so
 	// does one that no queue accounts for.
-	if ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) {
+	if ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) && !a.lost {
 		b.pressure(ev.Status, b.now-r.arrived-r.class.Aim, a.wait)
 	}
 	b.judge(a.to, ev.Status, a, ev.Spent)
--- a/balance/signs.go
+++ b/balance/signs.go
@@ -21,7 +21,29 @@
 
 // lost tells whether an attempt that ran out of time must have been lost, at a server that answered others.
 func (b *Balancer) lost(a *attempt, spent time.Duration) bool {
-	return a.to.owesAt > a.at && spent.Seconds() > lostQueues*(a.wait+b.meanBase())
+	return a.to.owesAt > a.at && spent.Seconds() > b.lostAfter(a)
+}
+
+// lostAfter is the time, in seconds, beyond which a server's signs tell that it has lost an attempt.
+func (b *Balancer) lostAfter(a *attempt) float64 { return lostQueues * (a.wait + b.meanBase()) }
+
+// watch looks after the attempt sent last, when it should have been answered long ago.
+func (b *Balancer) watch(r *request) {
+	n := len(r.attempts) - 1
+	after := time.Duration(b.lostAfter(&r.attempts[n])*float64(time.Second)) + b.cfg.Tick
+	if b.now+after < r.deadline {
+		b.setTimer(after, timer{look: r, attempt: n})
+	}
+}
+
+// look takes an attempt that must be lost off the entry of its server: it holds no place in the queue there, and
+// counted on until its deadline, a few of them would make an idle server look full.
+func (b *Balancer) look(a *attempt) {
+	if a.pending && !a.lost && b.lost(a, b.now-a.at) {
+		a.lost = true
+		a.to.out--
+		a.to.fails += failWeight * (1 - a.to.fails)
+	}
 }
 
 // failsMost is the rate of failures from which a refusal does more good than another try.
@@ -49,6 +71,7 @@
 		s.owesAt = b.now
 	case Expired:
 		switch {
+		case a.lost: // that has been told
 		case s.out == 0 && s.owesAt <= a.at:
 			s.fails = 1 // nothing came back at all
 		case b.lost(a, spent):
--- a/balance/signs_test.go
+++ b/balance/signs_test.go
@@ -120,3 +120,35 @@
 		}
 	}
 }
+
+// An attempt that must be lost holds no place at its server any more, and counts as one failure, told once. One
+// at a server that has given no sign since stays out: there a queue may be all.
+func TestLostAttemptsHoldNoPlace(t *testing.T) {
+	for name, tc := range map[string]struct {
+		signs      int
+		out, fails float64
+	}{"signs": {5, 0, failWeight}, "none": {0, 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, site(), member(1, 0, 0))
+			r.serve(300, safe, steady)
+			var marks []uint64
+			for _, a := range of(SetTimer, r.arrive("x", safe)) {
+				marks = append(marks, a.Mark)
+			}
+			r.serve(tc.signs, safe, steady)
+			s := r.b.servers[1]
+			s.fails = 0
+			r.wait(400 * ms)
+			r.do(Event{Kind: Timer, Mark: marks[len(marks)-1]})
+			if s.out != tc.out || s.fails != tc.fails {
+				t.Errorf("%v out and a rate of failures of %v, want %v and %v", s.out, s.fails, tc.out, tc.fails)
+			}
+			if tc.signs > 0 {
+				r.do(Event{Kind: Outcome, Request: "x", Backend: 1, Status: Expired, Spent: time.Second})
+				if s.out != 0 || s.fails != tc.fails {
+					t.Errorf("told twice: %v out, a rate of failures of %v", s.out, s.fails)
+				}
+			}
+		})
+	}
+}
