--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -15,6 +15,9 @@
 	since    time.Duration
 	arrived  int
 	sent     int
+	probes   int
+	dials    int64                   // connections to backends that were asked for
+	calls    int64                   // of discovery
 	answers  [doubled + 1]int        // final answers, by kind
 	late     int                     // those at or after the deadline, served ones aside
 	gone     int                     // clients that went away first
@@ -29,7 +32,8 @@
 func (c *counts) tell(now time.Duration, log *slog.Logger, open int, state balance.State) {
 	if c.arrived+c.sent > 0 {
 		o := &c.outcomes
-		log.Info("counts", "arrived", c.arrived, "open", open, "sent", c.sent, "served", c.answers[served],
+		log.Info("counts", "arrived", c.arrived, "open", open, "sent", c.sent, "probes", c.probes,
+			"dials", c.dials, "calls", c.calls, "served", c.answers[served],
 			"refused", c.answers[refused], "failed", c.answers[failed], "late", c.late, "gone", c.gone,
 			"delivered", o[balance.Delivered], "errors", o[balance.AppError], "shed", o[balance.Shed],
 			"expired", o[balance.Expired], "unconnected", o[balance.DialFailed], "dropped", o[balance.Dropped],
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"glencart/balance"
@@ -107,6 +108,7 @@
 	wait  time.Duration // of a watch
 	news  func(List)    // takes in a list
 	lost  func()        // a call failed
+	calls atomic.Int64  // since the loop last counted them
 
 	mu    sync.Mutex
 	url   string
@@ -273,6 +275,7 @@
 	if err != nil {
 		return List{}, err
 	}
+	d.calls.Add(1)
 	resp, err := d.http.Do(req)
 	if err != nil {
 		return List{}, err
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,6 +23,7 @@
 	back      *exchanges
 	askAbout  func(balance.ActionKind) // passes Watch, Unwatch and Fetch on
 	tellPeers func(peer int, payload []byte)
+	askedOf   func() int64 // calls of discovery since it was last asked
 
 	requests map[string]*request
 	backends map[string]*backend // by discovery's id
@@ -102,6 +103,7 @@
 		start: start, origin: time.Duration(start.UnixNano()),
 		askAbout:  func(balance.ActionKind) {},
 		tellPeers: func(int, []byte) {},
+		askedOf:   func() int64 { return 0 },
 		requests:  map[string]*request{}, backends: map[string]*backend{},
 	}
 }
@@ -147,6 +149,7 @@
 		now := l.now()
 		l.counts.slowest = max(l.counts.slowest, now-began)
 		if l.counts.due(now) {
+			l.counts.dials, l.counts.calls = l.back.pool.dials.Swap(0), l.askedOf()
 			l.counts.tell(now, l.log, len(l.requests), l.bal.State())
 		}
 	}
@@ -332,6 +335,7 @@
 		told(result{status: balance.Unused})
 		return
 	}
+	l.counts.probes++
 	l.back.probe(b.to, func(res result) { l.post(func() { told(res) }) })
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 		},
 		func() { n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.MembersRefused}) }) })
 	n.loop.askAbout = n.disco.ask
+	n.loop.askedOf = func() int64 { return n.disco.calls.Swap(0) }
 	if cfg.PeerListen != "" {
 		if n.peers, err = listenPeers(&cfg); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
@@ -114,6 +115,9 @@
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(n.listener) }()
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
+	site := n.cfg.Settings.Config
+	n.log.Info("told", "nodes", site.Instances, "index", site.Index, "zone", site.Zone, "limits", site.Limits,
+		"prices", site.Prices, "rules", site.Rules, "machine", n.cfg.Limits)
 	select {
 	case err := <-ended:
 		return fmt.Errorf("accepting: %w", err)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,8 @@
 	most   int           // connections, idle or not
 	keep   time.Duration // how long one may stand idle
 
+	dials atomic.Int64 // since the loop last counted them
+
 	mu   sync.Mutex
 	idle map[endpoint][]*conn // the one used last is at the end
 	open int
@@ -73,6 +76,7 @@
 	if !p.reserve() {
 		return nil, errNoRoom
 	}
+	p.dials.Add(1)
 	nc, err := p.dialer.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
 		p.release()
