Wait for a call's turn at discovery, and watch from the list that is known

Each node also read the whole list at its start, though it is told one, and called again for the watch in the same instant: 76 of 80 got 503.

Cause, in discovery.go: callSlack (1 s) is shorter than the line at a discovery that 80 nodes share. A call given up there is served all the same, so the next one stands behind it. And follow() always began with the whole list. Ruled out: the network (watches that were up went on without one failure) and the lists themselves (no malformed one).

Now a call waits for its turn and a watch begins at the revision that is known.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -25,8 +25,13 @@
 	// watchWait is how long a watch asks discovery to wait. A cut-off discovery says nothing, so it is short:
 	// news is then late by no more than this and callSlack. Where each call costs discovery work it is longWait.
 	watchWait, longWait = 2 * time.Second, 20 * time.Second
-	// callSlack is how long an answer may take beyond that.
-	callSlack = time.Second
+	// callSlack is how long an answer may take beyond that, and wholeWithin how long a whole list may take. All
+	// nodes share one discovery that takes calls in turn: one that is given up while it stands in line has cost its
+	// place all the same, and the next one waits behind it. So a node waits for its turn, and where discovery is
+	// overbooked hears from it that it won't come. Both stay below the time after which all counts as told.
+	callSlack, wholeWithin = 2500 * time.Millisecond, 5 * time.Second
+	// dialWithin is how long connecting may take: that needs no turn.
+	dialWithin = time.Second
 	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
 	// stays below the 200 ms after which discovery ends one.
 	watchGap = 150 * time.Millisecond
@@ -50,6 +55,9 @@
 	balance.Member
 }
 
+// errMalformed is the error of an answer that can't be read as a list.
+var errMalformed = errors.New("malformed list")
+
 // parseList decodes a list as discovery words it. One malformed entry spoils the whole list: half a list
 // could hide a drain.
 func parseList(text []byte, names settings.Settings) (List, error) {
@@ -110,6 +118,12 @@
 	lost  func()        // a call failed
 	calls atomic.Int64  // since the loop last counted them
 
+	// What is known, for run alone: a watch goes on from revision after. Else the whole list has to be read, which
+	// costs discovery work for each line.
+	have    bool
+	after   int64
+	patient time.Duration // for a whole list
+
 	mu    sync.Mutex
 	url   string
 	moved chan struct{} // closed when url changes; then there is a new one
@@ -122,9 +136,10 @@
 func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
 	d := &discovery{
 		url: registryURL(addr), moved: make(chan struct{}), names: names, log: log, wait: watchWait, news: news, lost: lost,
+		patient: wholeWithin,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
+				DialContext:            (&net.Dialer{Timeout: dialWithin}).DialContext,
 				MaxIdleConnsPerHost:    1,
 				MaxConnsPerHost:        2,
 				IdleConnTimeout:        10 * time.Second,
@@ -226,15 +241,23 @@
 			return heard, err
 		}
 		d.http.CloseIdleConnections()
+		d.have = false // it may number its lists in another way there
 		d.log.Info("discovery moved: reading the whole list there")
 	}
 }
 
-// follow reads the whole list and then, if it is to watch, the changes until a call fails.
+// follow reads the whole list, or goes on from the one that is known, and watches, if it is to, until a call fails.
 func (d *discovery) follow(ctx context.Context, url string, watch bool) (heard bool, err error) {
-	query, within, after := "", callSlack, int64(math.MinInt64)
 	for ctx.Err() == nil {
+		query, within := "", d.patient
+		if watch && d.have {
+			query = fmt.Sprintf("?after=%d&wait_ms=%d", d.after, d.wait.Milliseconds())
+			within = d.wait + callSlack
+		}
 		list, err := d.call(ctx, url+query, within)
+		if errors.Is(err, errMalformed) {
+			d.have = false // it told something that was missed
+		}
 		if err != nil {
 			return heard, err
 		}
@@ -244,16 +267,13 @@
 		answered := time.Now()
 		heard = true
 		d.news(list)
+		// When versions go back, or the watch has ended, what changed in between may be missing.
+		d.have = list.Complete || list.Revision >= d.after
+		d.after = list.Revision
 		if !watch || d.unwatched() {
 			return true, nil
 		}
-		query = fmt.Sprintf("?after=%d&wait_ms=%d", list.Revision, d.wait.Milliseconds())
-		within = d.wait + callSlack
-		if time.Since(answered) > watchGap || !list.Complete && list.Revision < after {
-			// The watch has ended, or the versions went back: what changed in between may be missing.
-			query, within = "", callSlack
-		}
-		after = list.Revision
+		d.have = d.have && time.Since(answered) <= watchGap
 	}
 	return heard, nil
 }
@@ -288,9 +308,13 @@
 	case resp.StatusCode != http.StatusOK:
 		return List{}, fmt.Errorf("status %d", resp.StatusCode)
 	case len(text) > listMost:
-		return List{}, errors.New("list too long")
+		return List{}, fmt.Errorf("%w: too long", errMalformed)
+	}
+	list, err := parseList(text, d.names)
+	if err != nil {
+		return List{}, fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	return parseList(text, d.names)
+	return list, nil
 }
 
 // pause waits, or until ctx ends.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -109,7 +109,7 @@
 			}
 		}
 	})
-	lists, lost := followed(t, b.Addr().String(), nil)
+	lists, lost := followed(t, b.Addr().String(), func(d *discovery) { d.patient = time.Second })
 	if l := receive(t, "the list", lists); l.Revision != 7 || lost.Load() != 3 {
 		t.Errorf("lost %d, then %+v", lost.Load(), l)
 	}
@@ -243,3 +243,42 @@
 		}
 	}
 }
+
+// A list that is known is gone on from: reading it all again would cost discovery work for each line.
+func TestKnownListIsWatchedFrom(t *testing.T) {
+	text := listText(41, true, listed{"s", "127.0.0.1:1", "ready", 0})
+	reg := newRegistry(t, text)
+	n, err := New(testConfig(t, reg.addr, text), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { n.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	eventually(t, "the first call", func() bool { return len(reg.asked()) > 0 })
+	if first := reg.asked()[0]; !strings.HasPrefix(first, "after=41&wait_ms=") {
+		t.Errorf("the first call asks for %q", first)
+	}
+}
+
+// A call that stands in discovery's line keeps its place: one given up would have been served all the same.
+func TestCallWaitsForItsTurn(t *testing.T) {
+	var calls atomic.Int64
+	text := listText(7, true, listed{"s", "127.0.0.1:1", "ready", 0})
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			if calls.Add(1) == 1 {
+				time.Sleep(1500 * time.Millisecond)
+			}
+			c.Write([]byte(ok200(text)))
+		}
+	})
+	lists, lost := followed(t, b.Addr().String(), nil)
+	if receive(t, "the list", lists); lost.Load() != 0 {
+		t.Errorf("%d calls were given up", lost.Load())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 			n.loop.post(func() { n.loop.list(kind, list) })
 		},
 		func() { n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.MembersRefused}) }) })
+	n.disco.have, n.disco.after = len(cfg.Known.Members) > 0, cfg.Known.Revision
 	n.loop.askAbout = n.disco.ask
 	n.loop.askedOf = func() int64 { return n.disco.calls.Swap(0) }
 	if cfg.PeerListen != "" {
