Keep to a part of each zone by the measured rate, not to all where no shares are told

Seen, summed over the 80 nodes: 1,500 requests a second, 19 a node, spread over 60 backends, so that a node meets one every three seconds. At the start all nodes dial all backends to probe them: 1,600 dials and 2,300 probes in the first second, 4,800 of each in four.

Cause, in balance.go: New took the rate of a node from the tenants' shares alone, and without tenants kept to all servers (MaxInt32). Ruled out: descriptors (74 of 384), the loop (longest turn 0.4 ms) and the backends' connections (60 each of 600 to 900).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,8 @@
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. An old peak
 	// of the warm rate fades by rateDecay, once a window.
 	coldMargin, rateDecay = 0.3, 0.9
-	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
+	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds by the
+	// rate of the last window; the part shrinks by one a window.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
 	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance.
@@ -85,6 +86,7 @@
 	probeDue                   float64 // probes that arrivals have paid for
 	part                       float64 // part of the slack that queues may take up
 	partSize                   int     // servers of a zone that this node keeps to
+	arrived                    int     // requests since the last roll
 	gap                        float64 // mean time between answers, seconds
 	judgedAt                   time.Duration
 	shares                     []share
@@ -187,13 +189,10 @@
 		aim.add(c.Aim.Seconds())
 	}
 	cfg.Instances, cfg.Limits.MaxAttempts = max(cfg.Instances, 1), max(cfg.Limits.MaxAttempts, 1)
-	var perSecond float64
+	var perSecond float64 // as far as it is told
 	for _, t := range cfg.Tenants {
 		perSecond += t.QuotaPerSecond / float64(cfg.Instances)
 	}
-	if perSecond == 0 {
-		perSecond = math.MaxInt32 // not told: all servers
-	}
 	shares := make([]share, len(cfg.Tenants))
 	for i := range shares {
 		shares[i].left = shareLeast
@@ -370,6 +369,7 @@
 		hint: ev.Hint, arrived: b.now, deadline: b.now + ev.Budget,
 	}
 	b.requests[r.id] = r
+	b.arrived++
 	// Every request is answered by its deadline, whatever becomes of its attempts.
 	b.setTimer(ev.Budget, timer{end: r})
 	b.probe()
@@ -872,6 +872,8 @@
 			s.time += forget * (b.peerPace*(s.depth+1) - s.time)
 		}
 	}
+	b.partSize = max(partServers, b.partSize-1, int(float64(b.arrived)/span*partSpan))
+	b.arrived = 0
 	b.rolledAt = b.now
 	b.choose()
 }
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -461,6 +461,32 @@
 	}
 }
 
+// Where no shares tell the rate, the part follows what arrives: a node of a large fleet with some requests a second
+// would meet each of all servers once in seconds, and know none of them.
+func TestThePartFollowsTheMeasuredRate(t *testing.T) {
+	cfg := site()
+	cfg.Tenants, cfg.Instances = nil, 80
+	members := make([]Member, 40)
+	for i := range members {
+		members[i] = member(BackendID(i+1), 0, 0)
+	}
+	for _, c := range []struct{ perSecond, least, most int }{
+		{4, partServers, partServers}, {60, 25, 35}, {200, 40, 40},
+	} {
+		r := newRig(t, cfg, members...)
+		for i := range 10 * c.perSecond {
+			r.wait(time.Second / time.Duration(c.perSecond))
+			r.arrive(fmt.Sprint(i), safe)
+			for _, a := range of(Send, r.last) {
+				r.outcome(a.Request, 0, a.Backend, Delivered)
+			}
+		}
+		if n := len(r.b.ready); n < c.least || n > c.most {
+			t.Errorf("%d requests a second: keeps to %d servers", c.perSecond, n)
+		}
+	}
+}
+
 // The first looks of a node tell of all servers that it has not seen yet, at once and not by a twentieth each.
 func TestFirstLooksTellOfTheRest(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
