Choose a cold server while it has a grant, and give it what it answers in half the aim

As they warm by requests, they stay cold.

Cause, in balance.go: pick weighs a cold server by pace/warmth and by the queue that is usual at warm ones, five to ten times what an idle one costs, so that it comes last, and as it counts as full it is refused as well. What guards it is its grant. Ruled out: late lists (each of the 80 nodes had them within the second), the grants (fleet-wide 7 a second for each cold server, unused), connects (none failed).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,8 @@
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. An old peak
 	// of the warm rate fades by rateDecay, once a window.
 	coldMargin, rateDecay = 0.3, 0.9
+	// coldAims is the part of the aim within which a cold server should answer what is granted to it.
+	coldAims = 0.5
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds by the
 	// rate of the last window; the part shrinks by one a window.
 	partServers, partSpan = 8, 0.5
@@ -429,11 +431,14 @@
 	for _, s := range b.ready {
 		// An idle server makes nobody wait, however slow it has become.
 		full := b.entry(s) > idleEntry && b.wait(s) > bound
+		if b.warmth(s) < 1 {
+			full = b.coldTime(r, s) > coldAims*r.class.Aim.Seconds()
+		}
 		if full || r.tried(s) || !b.mayGo(r, s) || !b.coldAllows(r, s) {
 			continue
 		}
 		// Own attempts count twice: counted once, nothing keeps nodes from servers of their own.
-		entry := b.cost(s) + s.out*b.pace(s)
+		entry := b.cost(s) + s.out*b.pace(s) - b.coldExtra(s)
 		if best == nil || entry < least {
 			best, least, ties = s, entry, 1
 		} else if entry == least {
@@ -818,6 +823,19 @@
 	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
 }
 
+// coldTime is how long a cold server would take for a request, behind what is known to be there. Of others
+// that is what was told lately, and not the usual: what they send is bounded like this node's own.
+func (b *Balancer) coldTime(r *request, s *server) float64 {
+	queue := s.out + s.stuck + s.told*b.fresh(s, b.usual(s))
+	return (b.work(r) + queue*b.warmPace(s)) / b.warmth(s)
+}
+
+// coldExtra is the part of a cold server's cost that it has for being cold. It does not count in the choice:
+// what is granted is little, is answered in time, and the server would stay cold without.
+func (b *Balancer) coldExtra(s *server) float64 {
+	return (1 - b.warmth(s)) * (b.entry(s) + 1) * b.pace(s)
+}
+
 // work returns what a request costs a server, in seconds: what its hint says, else the time of its
 // class where it does not queue. Queueing makes the mean times of light and heavy classes alike.
 func (b *Balancer) work(r *request) float64 {
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -331,6 +331,29 @@
 	}
 }
 
+// What is granted to a cold server is used while warm ones have a queue, though it is slower: it would stay cold
+// without. What it would answer too late goes to a warm one.
+func TestGrantsToColdServersAreUsed(t *testing.T) {
+	for hint, want := range map[time.Duration]BackendID{10 * ms: 2, 100 * ms: 1} {
+		r := newRig(t, site(), member(1, 0, 0))
+		r.serve(100, safe, steady)
+		r.wait(3 * time.Second)
+		r.serve(100, safe, steady)
+		r.holds(1, 1) // no more than is usual
+		cold := member(2, 0, 0)
+		cold.Launched = r.now - r.b.cfg.Rules.WarmWithin/4
+		r.do(Event{Kind: MembersChanged, Members: []Member{cold}})
+		r.b.servers[2].credit = 1
+		r.do(Event{Kind: RequestArrived, Request: "x", Class: safe, Budget: time.Second, Hint: hint})
+		if len(r.b.held) > 0 {
+			r.do(Event{Kind: Timer, Mark: r.b.lastMark})
+		}
+		if to := r.sent(); to != want {
+			t.Errorf("work of %v went to %d, want %d", hint, to, want)
+		}
+	}
+}
+
 // A full list names every server there is, also beyond the few that this node keeps to: one that it leaves out
 // is gone and must not come back into the part.
 func TestAFullListEndsServersOutsideThePart(t *testing.T) {
