Send more scouts when they wait less than the bound: a node locked itself into refusing

What they believe is wrong: a pace of 0.335 s out of the jam of the first second still stands at 0.274 s five seconds later, or one probe put a queue of three at a whole zone, which counts for a quarter of the mean. They see no answers that would correct it.

Cause, in balance.go: one in scoutOnce of the refused goes out, which is one a second in a node with 20 requests a second, and what came of it changed nothing but estimates. Ruled out: overload (the same backends serve the other nodes), failing backends (the best server's rate of failures was 0 at these nodes).

Some nodes still refuse most at 18 s, where the bound itself has shrunk to a few milliseconds: that is another cause.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,5 @@
 // The interface of this package (Config, Event, Action) is in balance/types.go.
-// This file holds the decisions, but for comeback.go's and signs.go's, and every tuning constant.
+// This file holds all decisions but those of cold.go, comeback.go and signs.go, and every tuning constant.
 
 package balance
 
@@ -51,10 +51,12 @@
 	// silence is charged beyond silentQueues times what the queue should take.
 	failsHigh, failsLow, silentQueues = 0.11, 0.02, 2
 	// The part of the slack that queues may take up follows how answers come, at partSpeed a second but by
-	// partStep an answer at most, and rests where one in lateOnce is late. One in scoutOnce that would be
-	// refused is sent all the same: its answer shows whether the node is right to refuse.
-	partSpeed, partStep, lateOnce, scoutOnce = 2.0, 0.1, 20, 20
-	partFirst, partLeast, partMost           = 0.3, 0.12, 1.0
+	// partStep an answer at most, and rests where one in lateOnce is late.
+	partSpeed, partStep, lateOnce = 2.0, 0.1, 20
+	// One in scoutOnce that would be refused is sent all the same: its answer shows whether the node is right
+	// to refuse. Where it waited less than the bound the node is wrong, and twice as many are sent.
+	scoutOnce                      = 20.0
+	partFirst, partLeast, partMost = 0.3, 0.12, 1.0
 	// idleEntry: a server whose entry is no higher is idle. An answer that met freeEntry or less tells the
 	// time without a queue, by baseWeight.
 	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
@@ -77,7 +79,8 @@
 	requests                   map[string]*request
 	timers                     map[uint64]timer
 	held                       []*request // arrivals that wait for the probes of their tick
-	refused                    int        // requests that no server was good enough for
+	refused                    float64    // requests since a scout that no server was good enough for
+	scoutEvery                 float64    // of them, how many make a scout
 	asked                      int        // probes of held requests that are out
 	pairs                      int        // servers asked twice in a row
 	lastMark                   uint64
@@ -139,8 +142,9 @@
 	deadline time.Duration
 	attempts []attempt
 	pending  int
-	ended    bool // the final answer is out
-	streamed bool // the answer has started: it belongs to the client
+	bound    float64 // that of a scout when it was sent; 0 for others
+	ended    bool    // the final answer is out
+	streamed bool    // the answer has started: it belongs to the client
 }
 
 // timer is what is due then: the end of a request or of its hold, a look whether an attempt is lost, another
@@ -205,7 +209,7 @@
 		timers: map[uint64]timer{}, zones: map[int]crowd{}, probedAt: -1,
 		meanAim: aim.value(), gap: aim.value(), peerPace: firstPace * aim.value(), part: partFirst,
 		partSize: max(partServers, int(perSecond*partSpan)),
-		classes:  make([]classStats, len(cfg.Classes)), shares: shares,
+		classes:  make([]classStats, len(cfg.Classes)), shares: shares, scoutEvery: scoutOnce,
 	}, nil
 }
 
@@ -405,7 +409,9 @@
 		s = b.pick(r, b.bound(r))
 	}
 	if s == nil && !spent && !again {
-		if b.refused++; b.refused%scoutOnce == 0 {
+		if b.refused++; b.refused >= b.scoutEvery {
+			b.refused -= b.scoutEvery
+			r.bound = b.bound(r)
 			s = b.pick(r, math.Inf(1)) // refusing keeps a node from the answers that would correct it
 		}
 	}
@@ -497,6 +503,7 @@
 	if ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) && !a.lost {
 		b.pressure(ev.Status, b.now-r.arrived-r.class.Aim, a.wait)
 	}
+	b.scouted(r, ev)
 	b.judge(a.to, ev.Status, a, ev.Spent)
 	b.compare(a.to)
 	b.report(a.to, ev.Load)
@@ -812,29 +819,7 @@
 	return math.Pow(turn/(turn+(b.now-s.toldAt).Seconds()), 2)
 }
 
-// ---- Cold servers ----
-
-// warmth returns the part of its capacity that a server surely has by now.
-func (b *Balancer) warmth(s *server) float64 {
-	age, rules := b.now-s.Launched, &b.cfg.Rules
-	if s.Launched == 0 || age >= rules.WarmWithin {
-		return 1
-	}
-	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
-}
-
-// coldTime is how long a cold server would take for a request, behind what is known to be there. Of others
-// that is what was told lately, and not the usual: what they send is bounded like this node's own.
-func (b *Balancer) coldTime(r *request, s *server) float64 {
-	queue := s.out + s.stuck + s.told*b.fresh(s, b.usual(s))
-	return (b.work(r) + queue*b.warmPace(s)) / b.warmth(s)
-}
-
-// coldExtra is the part of a cold server's cost that it has for being cold. It does not count in the choice:
-// what is granted is little, is answered in time, and the server would stay cold without.
-func (b *Balancer) coldExtra(s *server) float64 {
-	return (1 - b.warmth(s)) * (b.entry(s) + 1) * b.pace(s)
-}
+// ---- Work and rates ----
 
 // work returns what a request costs a server, in seconds: what its hint says, else the time of its
 // class where it does not queue. Queueing makes the mean times of light and heavy classes alike.
@@ -896,25 +881,6 @@
 	b.choose()
 }
 
-// grantCold guards against pushing over a server that has just started: for each window it grants this node's
-// part of what warm servers do, or of one request at a time. In a large fleet that is less than one request,
-// and one from each node would push the server over: then it is one by chance.
-func (b *Balancer) grantCold(s *server) {
-	if b.warmth(s) == 1 {
-		return
-	}
-	rules, unit := &b.cfg.Rules, max(b.meanBase(), 1e-6)
-	rate := max(b.warmRate, 1/float64(b.cfg.Instances))
-	units := coldMargin * rules.FallMultiple * b.warmth(s) * rate * rules.OverloadFor.Seconds() / unit
-	s.credit = min(s.credit, 0) + unit*math.Floor(units+b.rng.Float64())
-}
-
-// coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
-// rests of two grants would be as much as two windows may hold.
-func (b *Balancer) coldAllows(r *request, s *server) bool {
-	return b.warmth(s) == 1 || s.credit > b.work(r)/2
-}
-
 // mean is a plain mean; 0 when nothing was added.
 type mean struct{ sum, n float64 }
 
--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,46 @@
+package balance
+
+import "math"
+
+// This file decides on servers that have just started: what they can do, and what this node may send them.
+
+// warmth returns the part of its capacity that a server surely has by now.
+func (b *Balancer) warmth(s *server) float64 {
+	age, rules := b.now-s.Launched, &b.cfg.Rules
+	if s.Launched == 0 || age >= rules.WarmWithin {
+		return 1
+	}
+	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
+}
+
+// coldTime is how long a cold server would take for a request, behind what is known to be there. Of others
+// that is what was told lately, and not the usual: what they send is bounded like this node's own.
+func (b *Balancer) coldTime(r *request, s *server) float64 {
+	queue := s.out + s.stuck + s.told*b.fresh(s, b.usual(s))
+	return (b.work(r) + queue*b.warmPace(s)) / b.warmth(s)
+}
+
+// coldExtra is the part of a cold server's cost that it has for being cold. It does not count in the choice:
+// what is granted is little, is answered in time, and the server would stay cold without.
+func (b *Balancer) coldExtra(s *server) float64 {
+	return (1 - b.warmth(s)) * (b.entry(s) + 1) * b.pace(s)
+}
+
+// grantCold guards against pushing over a server that has just started: for each window it grants this node's
+// part of what warm servers do, or of one request at a time. In a large fleet that is less than one request,
+// and one from each node would push the server over: then it is one by chance.
+func (b *Balancer) grantCold(s *server) {
+	if b.warmth(s) == 1 {
+		return
+	}
+	rules, unit := &b.cfg.Rules, max(b.meanBase(), 1e-6)
+	rate := max(b.warmRate, 1/float64(b.cfg.Instances))
+	units := coldMargin * rules.FallMultiple * b.warmth(s) * rate * rules.OverloadFor.Seconds() / unit
+	s.credit = min(s.credit, 0) + unit*math.Floor(units+b.rng.Float64())
+}
+
+// coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
+// rests of two grants would be as much as two windows may hold.
+func (b *Balancer) coldAllows(r *request, s *server) bool {
+	return b.warmth(s) == 1 || s.credit > b.work(r)/2
+}
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -635,20 +635,32 @@
 }
 
 // A node that refuses everything has no answers to correct what it believes: one in scoutOnce goes out all the
-// same, and no more, or overload would get through.
+// same. Where they wait long that is all, or overload would get through; where they don't the node stops refusing.
 func TestRefusalsSendScouts(t *testing.T) {
-	r := newRig(t, site(), member(1, 0, 0))
-	r.serve(50, safe, steady)
-	r.b.zones[0] = crowd{others: 50, reports: 1e9, at: r.now}
-	r.wait(time.Second)
-	sent := 0
-	for i := range 10 * scoutOnce {
-		r.wait(10 * ms)
-		r.arrive(fmt.Sprint(i), safe)
-		sent += len(of(Send, r.last))
-	}
-	if sent != 10 {
-		t.Errorf("%d of %d sent to a server that seems full", sent, 10*scoutOnce)
+	for name, c := range map[string]struct {
+		spent       time.Duration
+		st          Status
+		least, most int
+	}{
+		"right to refuse": {spent: 800 * ms, least: 10, most: 10},
+		"turned away":     {st: Shed, least: 10, most: 12},
+		"wrong":           {spent: 20 * ms, least: 100, most: 200},
+	} {
+		r := newRig(t, site(), member(1, 0, 0))
+		r.serve(50, safe, steady)
+		sent, all := 0, int(10*scoutOnce)
+		for i := range all {
+			r.b.zones[0] = crowd{others: 50, reports: 1e9, at: r.now} // whatever answers say
+			r.wait(10 * ms)
+			id := fmt.Sprint(i)
+			if r.arrive(id, safe); len(of(Send, r.last)) > 0 {
+				sent++
+				r.do(Event{Kind: Outcome, Request: id, Backend: 1, Spent: c.spent, Status: c.st, NoMore: c.st == Delivered})
+			}
+		}
+		if sent < c.least || sent > c.most {
+			t.Errorf("%s: %d of %d sent to a server that seems full", name, sent, all)
+		}
 	}
 }
 
--- a/balance/signs.go
+++ b/balance/signs.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// scouted takes in what a scout met. A node that sees little may think all servers full for seconds, by a report or
+// some answers from one that is; a scout that waited less than the bound shows it, one that waited longer or came to
+// nothing shows that refusing is right.
+func (b *Balancer) scouted(r *request, ev *Event) {
+	switch {
+	case r.bound == 0 || ev.Attempt > 0 || ev.Status == Revoked:
+	case ev.Status == Delivered && ev.Spent.Seconds()-b.work(r) < r.bound:
+		b.scoutEvery = max(b.scoutEvery/2, 1)
+	default:
+		b.scoutEvery = min(b.scoutEvery*2, scoutOnce)
+	}
+}
+
 // compare sets a server's rate of failures beside that of all, and logs when traffic is withheld.
 func (b *Balancer) compare(s *server) {
 	// What all servers have in common makes none of them an outlier, and is no reason to refuse.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	site := n.cfg.Settings.Config
 	n.log.Info("told", "nodes", site.Instances, "index", site.Index, "zone", site.Zone, "limits", site.Limits,
-		"prices", site.Prices, "rules", site.Rules, "machine", n.cfg.Limits)
+		"prices", site.Prices, "rules", site.Rules, "classes", site.Classes, "machine", n.cfg.Limits)
 	select {
 	case err := <-ended:
 		return fmt.Errorf("accepting: %w", err)
