Spread calls to discovery over the fleet, and let only the module say when to repeat one

Causes, one in each place and the same: onMembers (balance.go) calls at once on the list it remembers and repeats every 0.5 to 1 s for ever, however many nodes there are; discovery.go adds a pause of its own, which decides without knowing the fleet. Ruled out: the patience for a call (none was given up any more), watches that break (none did).

The first call is spread over AskEvery/200 a node, a refused one waits that long, doubled each time, AskEvery at most.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,8 +63,11 @@
 	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
 	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
 	fallWeight, riseWeight = 0.3, 0.01
-	// rewatchParts: a refused call is repeated after AskEvery over this and up to as much again, by chance.
-	rewatchParts = 20
+	// All nodes share one discovery, and a fleet that starts or is refused together calls it together. So
+	// calls are spread by chance over AskEvery/callParts for each node of the fleet, AskEvery/2 at most. A
+	// refused one is repeated after that span or AskEvery/rewatchParts, by half more or less and doubled each
+	// time, AskEvery at most. Where the rules tell no AskEvery it is askUntold.
+	callParts, rewatchParts, askUntold = 200, 20, 10 * time.Second
 )
 
 // ---- State ----
@@ -98,6 +101,7 @@
 	shares                     []share
 	crowded                    bool    // answers come late, as logged
 	blind                      bool    // discovery was refused, as logged
+	refusals                   int     // in a row
 	allFail                    float64 // rate of failures over all servers
 	meanValue                  float64 // running mean of what requests are worth for each unit of work
 	meanAim                    float64 // mean aim of the classes, seconds
@@ -303,12 +307,13 @@
 		// A refused or broken subscription leaves the node blind to drains: ask again.
 		if b.cfg.AskDiscovery {
 			b.state(&b.blind, true, false, "discovery refused: asking again", "")
-			wait := b.cfg.Rules.AskEvery / rewatchParts
-			b.setTimer(wait+time.Duration(b.rng.Float64()*float64(wait)), timer{})
+			wait := min(max(b.askEvery()/rewatchParts, b.callSpan())<<min(b.refusals, 10), b.askEvery())
+			b.refusals++
+			b.askIn(time.Duration((0.5 + b.rng.Float64()) * float64(wait)))
 		}
 		return
 	}
-	b.blind = false
+	b.blind, b.refusals = false, 0
 	if ev.Kind != MembersChanged {
 		for _, s := range b.servers {
 			s.Phase = Gone // unless the full list names it, also one that this node does not keep to
@@ -322,10 +327,20 @@
 		b.log("no ready backend")
 	}
 	if ev.Kind == MembersRemembered && b.cfg.AskDiscovery {
-		b.do(Action{Kind: Watch})
+		b.askIn(time.Duration(b.rng.Float64() * float64(b.callSpan())))
 	}
 }
 
+// callSpan is the time over which the nodes of the fleet spread their calls to discovery.
+func (b *Balancer) callSpan() time.Duration {
+	return min(b.askEvery()/callParts*time.Duration(b.cfg.Instances), b.askEvery()/2)
+}
+
+func (b *Balancer) askEvery() time.Duration { return cmp.Or(b.cfg.Rules.AskEvery, askUntold) }
+
+// askIn asks for the list in a while.
+func (b *Balancer) askIn(wait time.Duration) { b.setTimer(wait, timer{}) }
+
 // update takes in one line of the list. A changed start time is a new process with a new queue.
 func (b *Balancer) update(m Member) {
 	s := b.servers[m.Backend]
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -208,6 +208,9 @@
 		}
 		complain.warn("discovery failed", "error", err)
 		d.lost()
+		if d.asked != nil {
+			continue // the module says when to call again
+		}
 		if heard {
 			wait = retryLeast
 		}
