Keep a jam from growing a node's part

The nodes' parts grow from 9 servers to 33 at 17 s and 47 at 20 s, dials from 53 to 871 a second at 4 ms of work each, and of 1,100 requests sent a second 300 are answered. Those that a node has never met look best to it, as it knows no time of theirs.

Cause, in balance.go: choose leaves failing servers out of the count of the part, and in a jam most seem to fail sooner or later; and the size follows what arrives, which clients that ask again treble, not what is sent. Ruled out: lists (all nodes had each within its second), refusing (up to 3,200 a second were refused), failing backends (errors end at 14 s).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -95,7 +95,7 @@
 	probeDue                   float64 // probes that arrivals have paid for
 	part                       float64 // part of the slack that queues may take up
 	partSize                   int     // servers of a zone that this node keeps to
-	arrived                    int     // requests since the last roll
+	placed                     int     // requests sent on their way since the last roll
 	gap                        float64 // mean time between answers, seconds
 	judgedAt                   time.Duration
 	shares                     []share
@@ -360,8 +360,9 @@
 }
 
 // choose keeps the node to a part of the servers of each zone where its traffic is too little to see more of
-// them, and each needs a connection from every node. Servers that fail are kept beside the part. It is drawn
-// by hash, so that nodes differ.
+// them, and each needs a connection from every node. Servers that fail are kept beside the part, but no more
+// than it holds: in a jam many seem to fail, and a node that goes on to others each time meets more and more
+// servers, knows none of them and pays a handshake for each. It is drawn by hash, so that nodes differ.
 func (b *Balancer) choose() {
 	b.ready = b.ready[:0]
 	all := map[int]int{}
@@ -372,12 +373,15 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	count := map[int]int{}
+	sound, failed := map[int]int{}, map[int]int{}
 	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool {
-		if !s.failed {
-			count[s.Zone]++
+		size := max(b.partSize, (partNodes*all[s.Zone]-1)/b.cfg.Instances+1)
+		if s.failed && failed[s.Zone] < size {
+			failed[s.Zone]++
+		} else {
+			sound[s.Zone]++
 		}
-		return count[s.Zone] > max(b.partSize, (partNodes*all[s.Zone]-1)/b.cfg.Instances+1)
+		return sound[s.Zone] > size
 	})
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
 }
@@ -393,7 +397,6 @@
 		hint: ev.Hint, arrived: b.now, deadline: b.now + ev.Budget,
 	}
 	b.requests[r.id] = r
-	b.arrived++
 	// Every request is answered by its deadline, whatever becomes of its attempts.
 	b.setTimer(ev.Budget, timer{end: r})
 	b.probe()
@@ -440,6 +443,7 @@
 	if again {
 		b.retries--
 	} else {
+		b.placed++
 		b.retries = min(b.retries+retryEarn, retryMost)
 		if left := b.shareLeft(r); left != nil {
 			*left = max(*left-1, 0)
@@ -893,8 +897,8 @@
 			s.time += forget * (b.peerPace*(s.depth+1) - s.time)
 		}
 	}
-	b.partSize = max(partServers, b.partSize-1, int(float64(b.arrived)/span*partSpan))
-	b.arrived = 0
+	b.partSize = max(partServers, b.partSize-1, int(float64(b.placed)/span*partSpan))
+	b.placed = 0
 	b.rolledAt = b.now
 	b.choose()
 }
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -506,6 +506,36 @@
 	}
 }
 
+// In a jam many servers seem to fail, and clients ask again and again: neither may spread a node over the fleet.
+func TestAJamDoesNotGrowThePart(t *testing.T) {
+	cfg := site()
+	cfg.Tenants, cfg.Instances = nil, 80
+	members := make([]Member, 40)
+	for i := range members {
+		members[i] = member(BackendID(i+1), 0, 0)
+	}
+	r := newRig(t, cfg, members...)
+	size := len(r.b.ready)
+	for range 5 {
+		for _, s := range r.b.ready {
+			s.failed = true
+		}
+		r.do(Event{Kind: MembersChanged})
+	}
+	if n := len(r.b.ready); n > 2*size {
+		t.Errorf("%d servers beside a part of %d", n-size, size)
+	}
+	r = newRig(t, cfg, members...)
+	for i := range 1000 {
+		r.wait(5 * ms)
+		r.b.ready = nil // nothing is sent
+		r.arrive(fmt.Sprint(i), safe)
+	}
+	if n := len(r.b.ready); n > size {
+		t.Errorf("a part of %d servers for requests that are refused", n)
+	}
+}
+
 // Where no shares tell the rate, the part follows what arrives: a node of a large fleet with some requests a second
 // would meet each of all servers once in seconds, and know none of them.
 func TestThePartFollowsTheMeasuredRate(t *testing.T) {
