Weigh a server's rare answers by the time since the last one

Cause, in balance.go: learn weighs each answer by paceWeight, a twentieth. A node has two to four answers a second of a server, so that its time of an answer is five to ten seconds old; the small site has fifteen and more. Ruled out: the lists (heard within the second), the bound (at 50 ms it would refuse what takes 147).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,8 @@
 	retryEarn, retryMost = 0.1, 20.0
 	// firstPace, in aims, stands for a pace and the time of a request until there is one. A new answer weighs
 	// paceWeight; a server without answers goes forget of the way to its peers' pace, a window.
-	firstPace, paceWeight, forget = 0.1, 0.05, 0.3
+	// Where answers are rare it weighs as much as the time since the last one has of paceSpan seconds.
+	firstPace, paceWeight, paceSpan, forget = 0.1, 0.05, 2.0, 0.3
 	// failAims is what a certain failure costs, in aims. failWeight is the weight of a new outcome in a
 	// server's rate of failures; the rate also fades by failFade each window, so that traffic returns.
 	failAims, failWeight, failFade = 3.0, 0.1, 0.25
@@ -756,9 +757,12 @@
 	if s.time == 0 {
 		s.time, s.depth = b.peerPace*(a.met+1), a.met
 	}
-	s.heard = b.now
 	// An answer out of a long queue tells more of the pace: a short one is no load to a server of many cores.
 	w := min(paceWeight*(a.met+1)/(s.depth+1), 1)
+	if s.heard > 0 {
+		w = max(w, 1-math.Exp(-(b.now-s.heard).Seconds()/paceSpan))
+	}
+	s.heard = b.now
 	s.time += w * (took - s.time)
 	s.depth += w * (a.met - s.depth)
 	b.answers++ // one server may see few answers of this node: the pace of all comes from all alike
--- a/balance/signs_test.go
+++ b/balance/signs_test.go
@@ -152,3 +152,18 @@
 		})
 	}
 }
+
+// A node of a large fleet has an answer of a server now and then: what it learned of it must not be ten seconds old.
+func TestARareAnswerTellsOfNow(t *testing.T) {
+	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
+	r.serve(100, safe, steady)
+	s := r.b.servers[1]
+	was, req := s.time, &request{class: &r.b.cfg.Classes[safe], stats: &r.b.classes[safe]}
+	for range 6 { // in three seconds
+		r.b.now += 500 * ms
+		r.b.learn(s, req, &attempt{to: s}, 120*ms)
+	}
+	if s.time < was+70e-3 {
+		t.Errorf("the time of an answer went from %.3f to %.3f s in three seconds of 0.120 s", was, s.time)
+	}
+}
