Weigh one report by a tenth at most in the mean of its zone

Cause, in balance.go: meanMost lets a report weigh a quarter where they come a second apart, so that the mean is that of four looks, each at one server. Ruled out: real differences between the zones (nodes of one zone differ as much about it), stale lists (every node had the same).

A tenth at most.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,7 @@
 	partServers, partSpan, partNodes = 3, 0.15, 8
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
 	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance.
-	meanSpan, meanMost, usualSpan, usualMost = 4.0, 0.25, 15.0, 0.1
+	meanSpan, meanMost, usualSpan, usualMost = 4.0, 0.1, 15.0, 0.1
 	// retryEarn is what a first send adds to the retry budget, retryMost the most that it holds.
 	retryEarn, retryMost = 0.1, 20.0
 	// firstPace, in aims, stands for a pace and the time of a request until there is one. A new answer weighs
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -753,3 +753,20 @@
 		t.Errorf("pace %v, then %v after three answers as fast behind twelve others", was, is)
 	}
 }
+
+// A node of a large fleet buys a report a second, of one server out of many: that one held three requests is chance,
+// and must not make a whole zone look full.
+func TestOneReportIsNoZone(t *testing.T) {
+	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
+	for range 50 {
+		r.wait(time.Second)
+		r.do(report(1, 1))
+		r.do(report(2, 1))
+	}
+	was := r.b.mean(r.b.servers[1])
+	r.wait(time.Second)
+	r.do(report(2, 4))
+	if more := r.b.mean(r.b.servers[1]) - was; more <= 0 || more > 0.5 {
+		t.Errorf("three requests more at one server make it %.2f at each of its zone", more)
+	}
+}
