Answer health and figures on a second address

The figures are counted by the client side where a request ends, attempts where the last byte has been written, and members by the loop. Nothing is opened where no admin address is told.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -33,6 +33,12 @@
 	if err != nil {
 		return err
 	}
+	if admin := os.Getenv("BALANCER_ADMIN"); admin != "" {
+		// Two processes of a node may share a configuration, but never this address.
+		if err := cfg.SetAdmin(admin); err != nil {
+			return err
+		}
+	}
 	limit(cfg.Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,138 @@
+package admin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for something that must happen.
+const patience = 20 * time.Second
+
+type fakeNode struct{ ready bool }
+
+func (f *fakeNode) Ready() bool { return f.ready }
+
+func (f *fakeNode) Figures(w io.Writer) { fmt.Fprintln(w, "edge_balancer.pending=14") }
+
+func start(t *testing.T, n Node) string {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", n, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s.Addr().String()
+}
+
+// call writes a call and returns the status of the answer and its body. The connection has to end with it.
+func call(t *testing.T, addr, text string) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	go io.WriteString(c, text) // a long one may be cut short
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !resp.Close {
+		t.Errorf("the connection goes on after %q", text)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func TestCalls(t *testing.T) {
+	ready, not := start(t, &fakeNode{ready: true}), start(t, &fakeNode{})
+	for _, c := range []struct {
+		addr, line string
+		status     int
+		body       string
+	}{
+		{ready, "GET /admin/health", 200, "ok"},
+		{not, "GET /admin/health", 503, ""},
+		{ready, "GET /admin/stats", 200, "edge_balancer.pending=14\n"},
+		{ready, "GET /admin/statistics", 404, ""},
+		{ready, "GET /", 404, ""},
+		{ready, "POST /admin/health", 405, ""},
+		{ready, "DELETE /admin/stats", 405, ""},
+		{ready, "nonsense", 400, ""},
+	} {
+		status, body := call(t, c.addr, c.line+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		if status != c.status || !strings.Contains(body, c.body) {
+			t.Errorf("%.40s: answered %d %q, want %d %q", c.line, status, body, c.status, c.body)
+		}
+	}
+}
+
+// A call that is too long is an error or a close; nobody reads it to its end.
+func TestLongCallsEnd(t *testing.T) {
+	c, err := net.Dial("tcp", start(t, &fakeNode{ready: true}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	go io.Copy(c, io.MultiReader(strings.NewReader("GET /admin/health?"), endless{}))
+	text, err := io.ReadAll(c)
+	if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() || strings.HasPrefix(string(text), "HTTP/1.1 200") {
+		t.Errorf("%.40q, %v", text, err)
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+// Callers that hold their connection without a whole call never keep one from being answered.
+func TestHeldConnectionsGiveWay(t *testing.T) {
+	addr := start(t, &fakeNode{ready: true})
+	var held []net.Conn
+	for i := range 4 * Conns {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /admin/hea")
+		}
+		held = append(held, c)
+	}
+	if status, _ := call(t, addr, "GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+		t.Errorf("answered %d", status)
+	}
+	// The first of them gave way to the later ones.
+	held[0].SetReadDeadline(time.Now().Add(patience))
+	if _, err := io.ReadAll(held[0]); err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("the longest held connection is still open: %v", err)
+	}
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -42,13 +42,14 @@
 type exchanges struct {
 	pool     *pool
 	host     string
-	inline   bool     // answers carry load reports
-	complain *limited // of load reports
-	failing  *limited // of attempts without a whole answer
+	inline   bool          // answers carry load reports
+	written  *atomic.Int64 // counts the attempts that were written whole
+	complain *limited      // of load reports
+	failing  *limited      // of attempts without a whole answer
 }
 
-func newExchanges(p *pool, inline bool, log *slog.Logger) *exchanges {
-	return &exchanges{pool: p, inline: inline, complain: &limited{log: log}, failing: &limited{log: log}}
+func newExchanges(p *pool, inline bool, written *atomic.Int64, log *slog.Logger) *exchanges {
+	return &exchanges{pool: p, inline: inline, written: written, complain: &limited{log: log}, failing: &limited{log: log}}
 }
 
 // message is what a client asked for, as it goes on to backends.
@@ -58,6 +59,7 @@
 	host   string
 	header http.Header
 	body   []byte
+	probe  bool
 }
 
 // result is how an exchange ended.
@@ -128,6 +130,9 @@
 		}
 		return result{status: x.broken(ctx, err)}
 	}
+	if !m.probe {
+		x.written.Add(1)
+	}
 	resp, body, err := cn.answer(m.method)
 	if err != nil {
 		x.pool.discard(cn)
@@ -228,7 +233,7 @@
 
 // probe asks an endpoint for its load report.
 func (x *exchanges) probe(to endpoint, done func(result)) {
-	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.addr, header: http.Header{}},
+	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.addr, header: http.Header{}, probe: true},
 		time.Now().Add(probeWithin), func(r result) {
 			if r.status == balance.Delivered && r.load.Has == 0 {
 				r.load = x.report(string(r.body))
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go p.run(ctx)
 	t.Cleanup(cancel)
-	return newExchanges(p, true, quiet())
+	return newExchanges(p, true, new(atomic.Int64), quiet())
 }
 
 func get(id string) *message {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -51,6 +51,7 @@
 	complain *limited
 	most     int64 // requests at once
 	inFlight atomic.Int64
+	figures  *figures
 	crowded  int         // so many connections that idle ones give way and answers close theirs
 	leaving  atomic.Bool // the node is about to end
 
@@ -61,7 +62,7 @@
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, names: names, log: log, complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+	return &front{loop: l, figures: l.figures, names: names, log: log, complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]time.Time{}}
 }
 
@@ -147,6 +148,9 @@
 		f.inFlight.Add(-1)
 		w.Header().Set("Connection", "close")
 		refuse(w, fullRetry)
+		if class := slices.Index(f.names.Classes, hr.Header.Get("X-Qos")); class >= 0 {
+			f.figures.count(class, refused)
+		}
 		return
 	}
 	defer f.inFlight.Add(-1)
@@ -186,9 +190,13 @@
 
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *request) {
+	end := failed
+	f.figures.pending.Add(1)
+	defer func() { f.figures.pending.Add(-1); f.figures.count(r.class, end) }()
 	f.loop.post(func() { f.loop.arrive(r) })
 	select {
 	case a := <-r.reply:
+		end = a.kind
 		if f.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -228,7 +228,7 @@
 	cfg := testConfig(t, newRegistry(t, text).addr, text)
 	cfg.Limits.Sockets = leastSockets
 	n := start(t, cfg)
-	clients, _ := cfg.Limits.share()
+	clients, _ := cfg.Limits.share(false)
 	for range 2 * clients {
 		tr := &http.Transport{} // its connection stays open
 		defer tr.CloseIdleConnections()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,6 +17,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Admin      string // the second address; "": none
 	Seed       uint64
 	Limits     Limits
 	PeerListen string
@@ -55,6 +56,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Admin      string          `json:"admin"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
@@ -66,7 +68,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits,
+	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Admin: raw.Admin, Limits: raw.Limits,
 		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
 	var err error
 	if raw.Seed != "" {
@@ -91,12 +93,18 @@
 	return cfg, cfg.check()
 }
 
+// SetAdmin names another second address.
+func (c *Config) SetAdmin(addr string) error {
+	c.Admin = addr
+	return c.check()
+}
+
 func (c *Config) check() error {
 	for _, a := range []struct {
 		name, addr string
 		needed     bool
 	}{
-		{"listen", c.Listen, true}, {"discovery", c.Discovery, true},
+		{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"admin", c.Admin, false},
 		{"peer_listen", c.PeerListen, false}, {"peers_all", c.PeersAll, false},
 	} {
 		if a.addr == "" && !a.needed {
@@ -122,19 +130,23 @@
 
 const (
 	// leastSockets is the smallest limit on descriptors that a node starts with, otherSockets what it keeps
-	// for all but clients and backends: listeners, discovery, standard streams, the runtime's own.
-	leastSockets, otherSockets = 64, 32
+	// for all but clients and backends: listeners, discovery, standard streams, the runtime's own. adminSockets
+	// are kept beside for the second address and for what a second process of the node opens.
+	leastSockets, otherSockets, adminSockets = 64, 32, 24
 	// usualSockets stands for a limit that is not told.
 	usualSockets = 1024
 )
 
 // share divides the descriptors: so many connections of clients, and so many to backends. A request in flight
 // holds one of each; backends get the rest as idle ones are kept there and probes need some.
-func (l Limits) share() (clients, backends int) {
+func (l Limits) share(admin bool) (clients, backends int) {
 	n := l.Sockets
 	if n == 0 {
 		n = usualSockets
 	}
 	n -= otherSockets
+	if admin {
+		n -= min(adminSockets, n/2)
+	}
 	return n / 2, n - n/2
 }
--- a/internal/node/improper_test.go
+++ b/internal/node/improper_test.go
@@ -49,7 +49,7 @@
 	t.Helper()
 	names := settings.Settings{Classes: []string{"order"}, Config: balance.Config{
 		Classes: []balance.Class{{Deadline: time.Second}}}}
-	f := newFront(newLoop(nil, nil, quiet()), names, 64, quiet())
+	f := newFront(newLoop(nil, nil, newFigures([]string{"order"}), quiet()), names, 64, quiet())
 	l := &pipeListener{conns: make(chan net.Conn), ended: make(chan struct{})}
 	srv := f.server()
 	ended := make(chan struct{})
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -35,8 +35,10 @@
 	busy    bool
 	actions []balance.Action
 
-	counts counts
-	ready  atomic.Bool // some backend may be sent to
+	counts  counts
+	figures *figures
+	shownAt time.Duration // when what only the loop knows was last published
+	ready   atomic.Bool   // some backend may be sent to
 }
 
 // backend is a backend that discovery has named since the start of the node.
@@ -92,13 +94,16 @@
 	contentType string
 }
 
+// showEvery is the least time between two looks at what the module avoids.
+const showEvery = 50 * time.Millisecond
+
 // inboxSize is how many posts may wait. It only smooths: a full inbox makes posters wait.
 const inboxSize = 1024
 
-func newLoop(bal *balance.Balancer, back *exchanges, log *slog.Logger) *loop {
+func newLoop(bal *balance.Balancer, back *exchanges, figures *figures, log *slog.Logger) *loop {
 	start := time.Now()
 	return &loop{
-		bal: bal, back: back, log: log,
+		bal: bal, back: back, figures: figures, log: log,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		start: start, origin: time.Duration(start.UnixNano()),
 		askAbout:  func(balance.ActionKind) {},
@@ -148,6 +153,9 @@
 		}
 		now := l.now()
 		l.counts.slowest = max(l.counts.slowest, now-began)
+		if now-l.shownAt >= showEvery {
+			l.show(now)
+		}
 		if l.counts.due(now) {
 			l.counts.dials, l.counts.calls = l.back.pool.dials.Swap(0), l.askedOf()
 			l.counts.tell(now, l.log, len(l.requests), l.bal.State())
@@ -388,6 +396,20 @@
 	l.ready.Store(ready)
 	l.handle(balance.Event{Kind: kind, Members: members})
 	l.unsend()
+	l.show(l.now())
+}
+
+// show publishes, for the second address, what only the loop knows.
+func (l *loop) show(now time.Duration) {
+	l.shownAt = now
+	listed := int64(0)
+	for _, b := range l.backends {
+		if b.phase != balance.Gone {
+			listed++
+		}
+	}
+	l.figures.members.Store(listed)
+	l.figures.avoided.Store(int64(l.bal.Avoided()))
 }
 
 // unsend stops attempts that have not begun to write to a backend that takes nothing new. Left alone, one that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/admin"
 	"glencart/internal/settings"
 )
 
@@ -38,6 +39,8 @@
 	loop     *loop
 	front    *front
 	disco    *discovery
+	figures  *figures
+	admin    *admin.Server // nil: none is told
 }
 
 // New returns a node that is ready to run.
@@ -46,11 +49,12 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log}
+	n := &Node{cfg: cfg, log: log, figures: newFigures(cfg.Settings.Classes)}
 	limits := cfg.Settings.Config.Limits
-	clients, backends := cfg.Limits.share()
+	clients, backends := cfg.Limits.share(cfg.Admin != "")
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
-	n.loop = newLoop(bal, newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log), log)
+	n.loop = newLoop(bal, newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, &n.figures.upstream, log),
+		n.figures, log)
 	n.front = newFront(n.loop, cfg.Settings, clients, log)
 	n.disco = newDiscovery(cfg.Discovery, cfg.Settings, log,
 		func(list List) {
@@ -70,15 +74,36 @@
 		}
 		n.loop.tellPeers = n.peers.tell
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		if n.peers != nil {
-			n.peers.conn.Close()
+	if err := n.listen(clients); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// listen opens the addresses of the node, for so many clients.
+func (n *Node) listen(clients int) (err error) {
+	if n.cfg.Admin != "" {
+		if n.admin, err = admin.Listen(n.cfg.Admin, told{n}, n.log); err != nil {
+			return err
 		}
-		return nil, fmt.Errorf("listen: %w", err)
+	}
+	l, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
 	n.listener = limitListener(l, clients)
-	return n, nil
+	return nil
+}
+
+// close ends a node that does not run.
+func (n *Node) close() {
+	if n.peers != nil {
+		n.peers.conn.Close()
+	}
+	if n.admin != nil {
+		n.admin.Close()
+	}
 }
 
 // Addr is the address that the node listens on for clients.
@@ -113,8 +138,15 @@
 		})
 	}
 	srv := n.front.server()
-	ended := make(chan error, 1)
+	ended := make(chan error, 2)
 	go func() { ended <- srv.Serve(n.listener) }()
+	if n.admin != nil {
+		wg.Go(func() {
+			if err := n.admin.Run(work); err != nil {
+				ended <- err
+			}
+		})
+	}
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	site := n.cfg.Settings.Config
 	n.log.Info("told", "nodes", site.Instances, "index", site.Index, "zone", site.Zone, "limits", site.Limits,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -380,7 +380,7 @@
 	cfg := testConfig(t, newRegistry(t, text).addr, text)
 	cfg.Limits.Sockets = leastSockets
 	n := start(t, cfg)
-	clients, _ := cfg.Limits.share()
+	clients, _ := cfg.Limits.share(false)
 	slow := make(chan string, 1)
 	go func() {
 		_, body := do(t, ask(t, n.url+"/api/slow", "order"))
--- /dev/null
+++ b/internal/node/told_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"context"
+)
+
+// stats reads the figures of a node on its second address.
+func stats(t *testing.T, n *started) map[string]int {
+	t.Helper()
+	resp, body := do(t, adminCall(t, n, "GET", "/admin/stats"))
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	out := map[string]int{}
+	for line := range strings.Lines(body) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), "=")
+		v, err := strconv.Atoi(value)
+		if err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		out[strings.TrimPrefix(name, "edge_balancer.")] = v
+	}
+	return out
+}
+
+func adminCall(t *testing.T, n *started, method, path string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+n.admin.Addr().String()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// startAdmin starts a node with a second address.
+func startAdmin(t *testing.T, list string) *started {
+	t.Helper()
+	cfg := testConfig(t, newRegistry(t, list).addr, list)
+	if err := cfg.SetAdmin("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	return start(t, cfg)
+}
+
+// Each request ends in one figure of its class, attempts count when they are written, and nothing stays pending.
+func TestFigures(t *testing.T) {
+	asked := make(chan string, 64)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		asked <- r.URL.Path
+		switch r.URL.Path {
+		case "/turned-away":
+			return "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+		case "/error":
+			return "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+		case "/stats":
+			return ok200("TEXT inflight=0")
+		case "/slow":
+			time.Sleep(50 * time.Millisecond)
+		}
+		return ok200("fine")
+	}))
+	n := startAdmin(t, listText(1, true, listed{id: "s-a", addr: b.Addr().String(), phase: "ready"},
+		listed{id: "s-b", addr: "127.0.0.1:9", phase: "draining"}))
+	for _, path := range []string{"/fine", "/fine", "/turned-away", "/error"} {
+		do(t, ask(t, n.url+path, "order"))
+	}
+	do(t, ask(t, n.url+"/fine", "read"))
+	do(t, ask(t, n.url+"/error", "read")) // one backend: nowhere else to go
+	// A client that goes away ends its request, whatever it counts as.
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for receive(t, "the slow request", asked) != "/slow" {
+		}
+		cancel()
+	}()
+	if resp, err := http.DefaultTransport.RoundTrip(ask(t, n.url+"/slow", "token").WithContext(ctx)); err == nil {
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	eventually(t, "nothing is pending", func() bool { return stats(t, n)["pending"] == 0 })
+	got := stats(t, n)
+	for name, want := range map[string]int{
+		"completed.order": 2, "rejected.order": 1, "failed.order": 1, "completed.read": 1, "rejected.read": 1, "failed.read": 0,
+		"upstream_requests": 7, "members": 2, "members_unavailable": 1,
+	} {
+		if got[name] != want {
+			t.Errorf("%s: %d, want %d", name, got[name], want)
+		}
+	}
+	if sum := got["completed.token"] + got["rejected.token"] + got["failed.token"]; sum != 1 {
+		t.Errorf("%d ends of one token request", sum)
+	}
+}
+
+// Without a second address there is none.
+func TestNoAdminWithoutAnAddress(t *testing.T) {
+	if n := startOn(t, "127.0.0.1:9"); n.admin != nil {
+		t.Error("a second address is open")
+	}
+}
+
+// The second address says whether the process may be sent to.
+func TestHealthFollowsTheNode(t *testing.T) {
+	n := startAdmin(t, listText(1, true))
+	if resp, _ := do(t, adminCall(t, n, "GET", "/admin/health")); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answered %d without a backend", resp.StatusCode)
+	}
+	n = startAdmin(t, listText(1, true, listed{id: "s-a", addr: "127.0.0.1:9", phase: "ready"}))
+	if resp, _ := do(t, adminCall(t, n, "GET", "/admin/health")); resp.StatusCode != http.StatusOK {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
