--- a/balance/balance.go
+++ b/balance/balance.go
@@ -113,6 +113,7 @@
 	retries                    float64 // attempts that may be sent again
 	probes                     float64 // probes sent
 	cordons                    map[BackendID]cordon
+	handed                     bool    // another process of this node takes what comes
 	refresh                    float64 // seconds between two reports of a server that differ
 }
 
@@ -256,6 +257,8 @@
 		b.onOutcome(&ev)
 	case Cordoned:
 		b.onCordon(&ev)
+	case HandedOver, TookOver:
+		b.onHandOver(&ev)
 	}
 	out, b.out = b.out, nil
 	return out
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -34,6 +34,10 @@
 	if b.warmth(s) == 1 {
 		return
 	}
+	if b.handed {
+		s.credit = min(s.credit, 0)
+		return
+	}
 	rules, unit := &b.cfg.Rules, max(b.meanBase(), 1e-6)
 	rate := max(b.warmRate, 1/float64(b.cfg.Instances))
 	units := coldMargin * rules.FallMultiple * b.warmth(s) * rate * rules.OverloadFor.Seconds() / unit
@@ -45,3 +49,14 @@
 func (b *Balancer) coldAllows(r *request, s *server) bool {
 	return b.warmth(s) == 1 || s.credit > b.work(r)/2
 }
+
+// onHandOver takes in that another process of this node takes what comes from now on, or that this one does. Both are
+// one node to a cold server: the old one is granted nothing more, and the new one nothing while the window of the old
+// one's last grant lasts.
+func (b *Balancer) onHandOver(ev *Event) {
+	b.handed = ev.Kind == HandedOver && ev.Out
+	b.rolledAt = b.now
+	for _, s := range b.servers {
+		s.credit = min(s.credit, 0)
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -232,6 +232,8 @@
 	Probed                             // Backend, Spent, Status, Load
 	Outcome                            // Request, Attempt, Backend, Spent, Status, NoMore, Load
 	PeerMessage                        // Peer, Payload
+	HandedOver                         // Out: another process of this node takes what comes from now on, or no longer
+	TookOver                           // this process takes what came to another one of this node
 	Cordoned                           // Backend, Out, At: taken out by hand, or put back, at that time
 )
 
--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -39,7 +39,7 @@
 			return err
 		}
 	}
-	limit(cfg.Limits)
+	limit(cfg)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -71,12 +71,17 @@
 }
 
 // limit fits the runtime into the machine. The collector starts seldom, and works harder where memory is short.
-func limit(l node.Limits) {
+// Two processes of a node, one replacing the other, share it.
+func limit(cfg node.Config) {
+	l, part := cfg.Limits, int64(7)
+	if cfg.Admin != "" {
+		part = 4
+	}
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Round(l.Cores))))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(l.MemoryMB << 20 / 10 * 7)
+		debug.SetMemoryLimit(l.MemoryMB << 20 / 10 * part)
 		debug.SetGCPercent(200)
 	}
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -54,6 +54,7 @@
 	figures  *figures
 	crowded  int         // so many connections that idle ones give way and answers close theirs
 	leaving  atomic.Bool // the node is about to end
+	handed   atomic.Bool // another process accepts its connections
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
@@ -121,7 +122,7 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
-	if f.leaving.Load() || f.isCrowded() {
+	if f.leaving.Load() || f.handed.Load() || f.isCrowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
@@ -138,7 +139,7 @@
 	}
 	switch hr.URL.Path {
 	case "/health/ready":
-		f.health(w, f.loop.ready.Load() && !f.leaving.Load())
+		f.health(w, f.loop.ready.Load() && (f.handed.Load() || !f.leaving.Load()))
 		return
 	case "/health/live":
 		f.health(w, true)
@@ -197,7 +198,7 @@
 	select {
 	case a := <-r.reply:
 		end = a.kind
-		if f.leaving.Load() {
+		if f.leaving.Load() || f.handed.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -52,6 +52,7 @@
 type Member struct {
 	ID   string
 	Addr string
+	Line json.RawMessage // as it was told
 	balance.Member
 }
 
@@ -62,18 +63,9 @@
 // could hide a drain.
 func parseList(text []byte, names settings.Settings) (List, error) {
 	var raw struct {
-		Revision *int64 `json:"revision"`
-		Complete bool   `json:"complete"`
-		Members  []struct {
-			ID       string   `json:"id"`
-			HostPort string   `json:"host_port"`
-			Locality string   `json:"locality"`
-			Flavor   string   `json:"flavor"`
-			Cell     int      `json:"cell"`
-			Phase    string   `json:"phase"`
-			Size     *float64 `json:"size"`
-			Up       int64    `json:"up_since_ms"`
-		} `json:"members"`
+		Revision *int64            `json:"revision"`
+		Complete bool              `json:"complete"`
+		Members  []json.RawMessage `json:"members"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return List{}, err
@@ -82,7 +74,20 @@
 		return List{}, errors.New("revision: missing")
 	}
 	list := List{Revision: *raw.Revision, Complete: raw.Complete}
-	for i, m := range raw.Members {
+	for i, line := range raw.Members {
+		var m struct {
+			ID       string   `json:"id"`
+			HostPort string   `json:"host_port"`
+			Locality string   `json:"locality"`
+			Flavor   string   `json:"flavor"`
+			Cell     int      `json:"cell"`
+			Phase    string   `json:"phase"`
+			Size     *float64 `json:"size"`
+			Up       int64    `json:"up_since_ms"`
+		}
+		if err := json.Unmarshal(line, &m); err != nil {
+			return List{}, fmt.Errorf("member %d: %w", i, err)
+		}
 		phase := slices.Index([]string{"ready", "draining", "gone"}, m.Phase)
 		_, addrErr := netip.ParseAddrPort(m.HostPort)
 		switch {
@@ -99,7 +104,7 @@
 		if m.Size != nil {
 			weight = *m.Size
 		}
-		list.Members = append(list.Members, Member{ID: m.ID, Addr: m.HostPort, Member: balance.Member{
+		list.Members = append(list.Members, Member{ID: m.ID, Addr: m.HostPort, Line: line, Member: balance.Member{
 			// An unknown locality is some other one than ours.
 			Zone: slices.Index(names.Zones, m.Locality), Cell: m.Cell, Kind: slices.Index(names.Kinds, m.Flavor),
 			Weight: weight, Launched: time.Duration(m.Up) * time.Millisecond, Phase: balance.Phase(phase),
@@ -125,6 +130,7 @@
 	patient time.Duration // for a whole list
 
 	mu    sync.Mutex
+	addr  string
 	url   string
 	moved chan struct{} // closed when url changes; then there is a new one
 
@@ -135,7 +141,7 @@
 
 func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
 	d := &discovery{
-		url: registryURL(addr), moved: make(chan struct{}), names: names, log: log, wait: watchWait, news: news, lost: lost,
+		addr: addr, url: registryURL(addr), moved: make(chan struct{}), names: names, log: log, wait: watchWait, news: news, lost: lost,
 		patient: wholeWithin,
 		http: &http.Client{
 			Transport: &http.Transport{
@@ -163,7 +169,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if url := registryURL(addr); url != d.url {
-		d.url = url
+		d.addr, d.url = addr, url
 		close(d.moved)
 		d.moved = make(chan struct{})
 	}
--- /dev/null
+++ b/internal/node/handing_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"glencart/balance"
+)
+
+// process starts a process of a node that may run beside another one.
+func process(t *testing.T, dir, listen, list string) *started {
+	t.Helper()
+	cfg := testConfig(t, newRegistry(t, list).addr, list)
+	cfg.Admin, cfg.StateDir = "127.0.0.1:0", dir
+	if listen != "" {
+		cfg.Listen = listen
+	}
+	return start(t, cfg)
+}
+
+func healthy(t *testing.T, n *started) bool {
+	resp, _ := do(t, adminCall(t, n, "GET", "/admin/health"))
+	return resp.StatusCode == http.StatusOK
+}
+
+func echo(t *testing.T) *rawBackend {
+	return newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/stats" {
+			return ok200("TEXT inflight=0")
+		}
+		time.Sleep(time.Millisecond)
+		return ok200(r.Header.Get("X-Trace-Id"))
+	}))
+}
+
+// clients ask without end, on new connections and on kept ones, and count what gets no answer. Returned is what ends
+// them.
+func clients(t *testing.T, url string, asked, bad *atomic.Int64) (stop func()) {
+	var wg sync.WaitGroup
+	quit := make(chan struct{})
+	for i := range 8 {
+		wg.Go(func() {
+			tr := &http.Transport{DisableKeepAlives: i%2 == 0}
+			defer tr.CloseIdleConnections()
+			for {
+				select {
+				case <-quit:
+					return
+				default:
+				}
+				r := ask(t, url+"/x", "read")
+				asked.Add(1)
+				resp, err := tr.RoundTrip(r)
+				if err != nil {
+					t.Log(err)
+					bad.Add(1)
+					continue
+				}
+				// A process that knows nothing yet may refuse; that is an answer.
+				if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+					t.Log(resp.Status)
+					bad.Add(1)
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+	return func() { close(quit); wg.Wait() }
+}
+
+// One process replaces another while clients go on asking: nothing is lost, and the old one ends.
+func TestReplacedWithoutLoss(t *testing.T) {
+	dir := t.TempDir()
+	list := listText(7, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	old := process(t, dir, "", list)
+	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
+	var asked, bad atomic.Int64
+	stop := clients(t, old.url, &asked, &bad)
+	// The new one is told an old list, and has the old process's.
+	next := process(t, dir, old.Addr().String(), listText(1, true))
+	eventually(t, "the new process is ready", func() bool { return healthy(t, next) })
+	before := stats(t, next)["completed.read"]
+	old.stop()
+	if err := receive(t, "the end of the old process", old.err); err != nil {
+		t.Error(err)
+	}
+	eventually(t, "the new process serves", func() bool { return stats(t, next)["completed.read"] > before+100 })
+	stop()
+	if bad.Load() > 0 {
+		t.Errorf("%d of %d requests got no answer", bad.Load(), asked.Load())
+	}
+	eventually(t, "the new process has all descriptors", func() bool {
+		next.listener.mu.Lock()
+		defer next.listener.mu.Unlock()
+		next.pool.mu.Lock()
+		defer next.pool.mu.Unlock()
+		return next.listener.most == next.clients && next.pool.most == next.backends
+	})
+}
+
+// What waits in the queue of the old process's listener is served by the new one.
+func TestQueueOutlivesTheOldProcess(t *testing.T) {
+	dir := t.TempDir()
+	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	old := process(t, dir, "", list)
+	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
+	old.handed(true) // it accepts nothing
+	c, err := net.Dial("tcp", old.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: queued\r\nX-Qos: read\r\nX-Customer: acme\r\nConnection: close\r\n\r\n")
+	next := process(t, dir, old.Addr().String(), list)
+	eventually(t, "the new process is ready", func() bool { return healthy(t, next) })
+	old.stop()
+	c.SetReadDeadline(time.Now().Add(patience))
+	text := make([]byte, 1<<10)
+	n, err := c.Read(text)
+	if !strings.HasPrefix(string(text[:n]), "HTTP/1.1 200") {
+		t.Errorf("%q, %v", text[:n], err)
+	}
+}
+
+// A new process that ends before the old one is told to gives the node back.
+func TestHeirThatEndsGivesBack(t *testing.T) {
+	dir := t.TempDir()
+	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	old := process(t, dir, "", list)
+	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
+	cfg := old.cfg
+	cfg.Listen = old.Addr().String()
+	h := newHanding(cfg, quiet())
+	eventually(t, "the old process hands over", func() bool { h.claim(); return h.inherited != nil })
+	if got, ok := h.list(cfg); !ok || got.Members[0].ID != "s-a" || got.Revision != 1 {
+		t.Errorf("list %+v", got)
+	}
+	if left, err := h.take(); err != nil || left.Backends < keepBackends {
+		t.Fatalf("%+v, %v", left, err)
+	}
+	var handed bool
+	old.onLoop(t, func() { handed = old.front.handed.Load() })
+	if !handed {
+		t.Error("the old process goes on accepting")
+	}
+	h.close()
+	eventually(t, "the old process serves again", func() bool {
+		resp, _ := do(t, ask(t, old.url+"/x", "read"))
+		return resp.StatusCode == http.StatusOK && !old.front.handed.Load()
+	})
+}
+
+// An old process that is not there, or does not answer, keeps no new one from serving.
+func TestStartsWithoutAnAnswer(t *testing.T) {
+	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	for name, leave := range map[string]func(path string){
+		"nobody": func(string) {},
+		"a file": func(path string) { os.WriteFile(path, []byte("x"), 0o600) },
+		"a dead socket": func(path string) {
+			l, err := listenUnix(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Close()
+		},
+		"a silent process": func(path string) {
+			l, err := listenUnix(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := filepath.Join(t.TempDir(), strings.Repeat("long", 30)) // longer than a socket's path may be
+			if err := os.Mkdir(dir, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			leave(filepath.Join(dir, "glencart-n1.sock"))
+			n := process(t, dir, "", list)
+			eventually(t, "the process is ready", func() bool { return healthy(t, n) })
+			if resp, _ := do(t, ask(t, n.url+"/x", "read")); resp.StatusCode != http.StatusOK {
+				t.Errorf("answered %d", resp.StatusCode)
+			}
+			next := process(t, dir, n.Addr().String(), list)
+			eventually(t, "the next process is ready", func() bool { return healthy(t, next) })
+		})
+	}
+}
+
+// A listener that rests leaves connections in its queue, and accepts them afterwards.
+func TestRestingListener(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limitListener(raw, 4)
+	defer l.Close()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- c
+		}
+	}()
+	l.rest(true)
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	select {
+	case <-accepted:
+		t.Error("accepted while it rests")
+	case <-time.After(20 * time.Millisecond):
+	}
+	l.rest(false)
+	receive(t, "the connection", accepted).Close()
+	eventually(t, "it is released", func() bool { return l.held() == 0 })
+}
+
+// While another process takes what comes, cold servers get nothing from this one.
+func TestHandOverKeepsOneGrant(t *testing.T) {
+	list := listText(1, true, listed{id: "s-a", addr: "127.0.0.1:9", phase: "ready", up: time.Now().UnixMilli()},
+		listed{id: "s-b", addr: echo(t).Addr().String(), phase: "ready"})
+	n := process(t, t.TempDir(), "", list)
+	n.onLoop(t, func() { n.loop.handle(balance.Event{Kind: balance.HandedOver, Out: true}) })
+	for range 20 {
+		if resp, _ := do(t, ask(t, n.url+"/x", "order")); resp.StatusCode != http.StatusOK {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	backends map[string]*backend // by discovery's id
 	byNumber []*backend          // by the Balancer's id
 	cordons  cordons             // as the loop has taken them in
+	revision int64               // of the list
 	timers   timers
 	seq      uint64
 
@@ -50,6 +52,7 @@
 	phase  balance.Phase
 	out    bool  // taken out by hand
 	back   int64 // when it was put back last
+	line   json.RawMessage
 }
 
 // takes tells whether a backend may be sent anything new.
@@ -365,6 +368,7 @@
 	if len(list.Members) > 0 {
 		l.log.Info("list of backends", "revision", list.Revision, "complete", list.Complete, "members", len(list.Members))
 	}
+	l.revision = list.Revision
 	if list.Complete {
 		for _, b := range l.backends {
 			b.phase = balance.Gone // unless the list names it
@@ -387,7 +391,7 @@
 		if b.to != to {
 			l.back.pool.drop(b.to)
 		}
-		b.to, b.phase = to, m.Phase
+		b.to, b.phase, b.line = to, m.Phase, m.Line
 		line := m.Member
 		line.Backend = b.number
 		members = append(members, line)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"glencart/balance"
@@ -40,8 +39,11 @@
 	front    *front
 	disco    *discovery
 	figures  *figures
+	clients  int           // connections of clients, over all processes of the node
+	backends int           // and to backends
 	admin    *admin.Server // nil: none is told
 	cordons  *cordonFile   // where there is an admin
+	handing  *handing      // likewise
 }
 
 // New returns a node that is ready to run.
@@ -52,11 +54,18 @@
 	}
 	n := &Node{cfg: cfg, log: log, figures: newFigures(cfg.Settings.Classes)}
 	limits := cfg.Settings.Config.Limits
-	clients, backends := cfg.Limits.share(cfg.Admin != "")
-	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
+	if cfg.Admin != "" {
+		n.handing = newHanding(cfg, log)
+		n.handing.claim()
+		if list, ok := n.handing.list(cfg); ok {
+			n.cfg.Known = list
+		}
+	}
+	n.clients, n.backends = cfg.Limits.share(cfg.Admin != "")
+	n.pool = newPool(n.backends, limits.ConnectTimeout, limits.IdleClose)
 	n.loop = newLoop(bal, newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, &n.figures.upstream, log),
 		n.figures, log)
-	n.front = newFront(n.loop, cfg.Settings, clients, log)
+	n.front = newFront(n.loop, cfg.Settings, n.clients, log)
 	n.disco = newDiscovery(cfg.Discovery, cfg.Settings, log,
 		func(list List) {
 			kind := balance.MembersChanged
@@ -66,7 +75,7 @@
 			n.loop.post(func() { n.loop.list(kind, list) })
 		},
 		func() { n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.MembersRefused}) }) })
-	n.disco.have, n.disco.after = len(cfg.Known.Members) > 0, cfg.Known.Revision
+	n.disco.have, n.disco.after = len(n.cfg.Known.Members) > 0, n.cfg.Known.Revision
 	n.loop.askAbout = n.disco.ask
 	n.loop.askedOf = func() int64 { return n.disco.calls.Swap(0) }
 	if cfg.PeerListen != "" {
@@ -75,26 +84,35 @@
 		}
 		n.loop.tellPeers = n.peers.tell
 	}
-	if err := n.listen(clients); err != nil {
+	if err := n.listen(); err != nil {
 		n.close()
 		return nil, err
 	}
 	return n, nil
 }
 
-// listen opens the addresses of the node, for so many clients.
-func (n *Node) listen(clients int) (err error) {
+// listen opens the addresses of the node.
+func (n *Node) listen() (err error) {
 	if n.cfg.Admin != "" {
 		n.cordons = newCordonFile(n.cfg.StateDir, n.cfg.Name, n.log)
 		if n.admin, err = admin.Listen(n.cfg.Admin, told{n}, n.log); err != nil {
 			return err
 		}
 	}
-	l, err := net.Listen("tcp", n.cfg.Listen)
+	if n.handing != nil && n.handing.inherited != nil {
+		n.listener = limitListener(n.handing.inherited, 0)
+		n.listener.rest(true) // until the old process says that it has stopped
+		return nil
+	}
+	lc := net.ListenConfig{}
+	if n.handing != nil {
+		lc.Control = sharePort // with an old process that does not answer
+	}
+	l, err := lc.Listen(context.Background(), "tcp", n.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	n.listener = limitListener(l, clients)
+	n.listener = limitListener(l, n.clients)
 	return nil
 }
 
@@ -106,6 +124,9 @@
 	if n.admin != nil {
 		n.admin.Close()
 	}
+	if n.handing != nil {
+		n.handing.close()
+	}
 }
 
 // Addr is the address that the node listens on for clients.
@@ -159,9 +180,16 @@
 	site := n.cfg.Settings.Config
 	n.log.Info("told", "nodes", site.Instances, "index", site.Index, "zone", site.Zone, "limits", site.Limits,
 		"prices", site.Prices, "rules", site.Rules, "classes", site.Classes, "machine", n.cfg.Limits)
+	var replaced chan struct{} // stays nil where nobody can
+	if n.handing != nil {
+		replaced = make(chan struct{})
+		wg.Go(func() { n.succession(work, replaced) })
+	}
 	select {
 	case err := <-ended:
 		return fmt.Errorf("accepting: %w", err)
+	case <-replaced:
+		n.log.Info("replaced, and done")
 	case <-ctx.Done():
 	}
 	return n.leave(srv)
@@ -183,6 +211,9 @@
 		}
 	}
 	go func() {
+		if n.front.handed.Load() {
+			return // nobody new comes, and who has begun a head may still end it
+		}
 		// Shutdown alone would wait for connections that have never sent a request.
 		for still := time.Duration(0); still < stillFor && ctx.Err() == nil; still += lookEvery {
 			pause(ctx, lookEvery)
@@ -209,56 +240,3 @@
 	}
 	return longest
 }
-
-// limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
-// accepting them would run the process out of descriptors.
-func limitListener(l net.Listener, most int) *boundedListener {
-	return &boundedListener{Listener: l, room: make(chan struct{}, most), closed: make(chan struct{})}
-}
-
-type boundedListener struct {
-	net.Listener
-	room   chan struct{}
-	open   atomic.Int64 // accepted and not closed
-	once   sync.Once
-	closed chan struct{}
-}
-
-// full tells whether connections have to wait.
-func (l *boundedListener) full() bool {
-	// One place is Accept's own, while it waits.
-	return l.open.Load() >= int64(cap(l.room))
-}
-
-func (l *boundedListener) Accept() (net.Conn, error) {
-	select {
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case l.room <- struct{}{}:
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.room
-		return nil, err
-	}
-	l.open.Add(1)
-	framed := &framedConn{Conn: c, next: head{since: time.Now()}}
-	return &boundedConn{Conn: framed, framed: framed, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}, nil
-}
-
-func (l *boundedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-type boundedConn struct {
-	net.Conn
-	framed  *framedConn
-	release func()
-}
-
-func (c *boundedConn) Close() error {
-	err := c.Conn.Close()
-	c.release()
-	return err
-}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -27,10 +27,6 @@
 
 // listenPeers opens the node's socket for datagrams.
 func listenPeers(cfg *Config) (*peers, error) {
-	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
-	if err != nil {
-		return nil, err
-	}
 	p := &peers{out: make(chan datagram, 64)}
 	for _, s := range cfg.Peers {
 		a, err := netip.ParseAddrPort(s)
@@ -40,12 +36,21 @@
 		p.addrs = append(p.addrs, a)
 	}
 	if cfg.PeersAll != "" {
+		var err error
 		if p.all, err = netip.ParseAddrPort(cfg.PeersAll); err != nil {
 			return nil, err
 		}
 	}
-	p.conn, err = net.ListenUDP("udp", addr)
-	return p, err
+	lc := net.ListenConfig{}
+	if cfg.Admin != "" {
+		lc.Control = sharePort // with the other process of the node
+	}
+	pc, err := lc.ListenPacket(context.Background(), "udp", cfg.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	p.conn = pc.(*net.UDPConn)
+	return p, nil
 }
 
 // tell sends a datagram to one peer or to all of them. It never blocks: a datagram may be lost anyway.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -33,12 +33,12 @@
 // pool keeps the connections to backends: the idle ones, and a count of all.
 type pool struct {
 	dialer net.Dialer
-	most   int           // connections, idle or not
 	keep   time.Duration // how long one may stand idle
 
 	dials atomic.Int64 // since the loop last counted them
 
 	mu   sync.Mutex
+	most int                  // connections, idle or not
 	idle map[endpoint][]*conn // the one used last is at the end
 	open int
 }
@@ -137,6 +137,31 @@
 	return true
 }
 
+// allow sets how many connections there may be from now on. Idle ones beyond that are closed.
+func (p *pool) allow(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for to, list := range p.idle {
+		for len(list) > 0 && p.open > p.most {
+			list[0].Close()
+			list = list[1:]
+			p.open--
+		}
+		p.setIdle(to, list)
+	}
+}
+
+// held is how many connections there are, and how many of them are idle.
+func (p *pool) held() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return p.open, idle
+}
+
 func (p *pool) release() {
 	p.mu.Lock()
 	p.open--
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -6,7 +6,8 @@
 type told struct{ n *Node }
 
 func (t told) Ready() bool {
-	return t.n.loop.ready.Load() && !t.n.front.leaving.Load()
+	n := t.n
+	return n.loop.ready.Load() && !n.front.leaving.Load() && (n.handing == nil || n.handing.serving.Load())
 }
 
 func (t told) Figures(w io.Writer) { t.n.figures.write(w) }
