Stream large bodies and answers, and judge slow clients by what they send

Without an admin address bodies and answers stay bounded by 64 KiB and answers that end with their connection are no answers, as before; the times for a slow client hold there too.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -151,6 +151,8 @@
 	attempts []attempt
 	pending  int
 	bound    float64 // that of a scout when it was sent; 0 for others
+	open     bool    // it is still coming in
+	spoilt   bool    // it can't be sent again
 	ended    bool    // the final answer is out
 	streamed bool    // the answer has started: it belongs to the client
 }
@@ -172,6 +174,7 @@
 	pending bool
 	mayRun  bool // it may have run, or may still run
 	lost    bool // it must be lost: it counts no more as out
+	open    bool // its last byte has not gone: it does not count as out yet
 }
 
 // classStats is what a node has learned of a class.
@@ -257,6 +260,8 @@
 		b.onOutcome(&ev)
 	case Cordoned:
 		b.onCordon(&ev)
+	case Written:
+		b.onWritten(&ev)
 	case HandedOver, TookOver:
 		b.onHandOver(&ev)
 	}
@@ -402,8 +407,12 @@
 		hint: ev.Hint, arrived: b.now, deadline: b.now + ev.Budget,
 	}
 	b.requests[r.id] = r
-	// Every request is answered by its deadline, whatever becomes of its attempts.
-	b.setTimer(ev.Budget, timer{end: r})
+	if r.open = ev.Open; r.open {
+		r.deadline = math.MaxInt64
+	} else {
+		// Every request is answered by its deadline, whatever becomes of its attempts.
+		b.setTimer(ev.Budget, timer{end: r})
+	}
 	b.probe()
 	b.meanValue = cmp.Or(b.meanValue, b.value(r))
 	b.meanValue += valueWeight * (b.value(r) - b.meanValue)
@@ -429,7 +438,8 @@
 func (b *Balancer) place(r *request) {
 	// Retries without a budget multiply the load just when the servers are full.
 	again := len(r.attempts) > 0
-	spent := b.now >= r.deadline || len(r.attempts) >= b.cfg.Limits.MaxAttempts || again && b.retries < 1
+	spent := r.spoilt || b.now >= r.deadline || len(r.attempts) >= b.cfg.Limits.MaxAttempts ||
+		again && b.retries < 1
 	var s *server
 	if !spent {
 		s = b.pick(r, b.bound(r))
@@ -499,14 +509,14 @@
 	met := b.entry(s)
 	r.attempts = append(r.attempts, attempt{
 		to: s, at: b.now, met: met, wait: met * b.pace(s), pending: true, mayRun: true})
-	if s.out == 0 {
-		s.owesAt = b.now
-	}
-	s.out++
 	s.credit -= b.work(r)
 	r.pending++
 	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1})
-	b.watch(r)
+	if r.open {
+		r.attempts[len(r.attempts)-1].open = true
+	} else {
+		b.begin(r)
+	}
 }
 
 func (b *Balancer) onOutcome(ev *Event) {
@@ -517,9 +527,10 @@
 	a := &r.attempts[ev.Attempt]
 	a.pending, a.mayRun = false, !ev.Status.NeverRan()
 	r.pending--
-	if !a.lost {
+	if !a.lost && !a.open {
 		a.to.out--
 	}
+	r.spoilt = r.spoilt || ev.Spoilt
 	if ev.Status != Delivered {
 		// Not accepted: it keeps its increment until a report, against a server that
 		// fails fast and so looks idle.
@@ -527,14 +538,14 @@
 	}
 	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding, and so
 	// does one that no queue accounts for.
-	if ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) && !a.lost {
+	if !a.open && (ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) && !a.lost) {
 		b.pressure(ev.Status, b.now-r.arrived-r.class.Aim, a.wait)
 	}
 	b.scouted(r, ev)
 	b.judge(a.to, ev.Status, a, ev.Spent)
 	b.compare(a.to)
 	b.report(a.to, ev.Load)
-	if ev.Status == Delivered {
+	if ev.Status == Delivered && !a.open {
 		b.learnBase(r, a, ev.Spent.Seconds())
 		a.to.served += b.work(r)
 		b.learn(a.to, r, a, ev.Spent)
@@ -702,19 +713,6 @@
 	return r.class.Points * b.meanBase() / b.work(r)
 }
 
-// shareLeft returns how many requests this node's part of a tenant's share still holds, brought up to
-// now, or nil where there are no shares.
-func (b *Balancer) shareLeft(r *request) *float64 {
-	if r.tenant < 0 || r.tenant >= len(b.shares) || b.cfg.Tenants[r.tenant].QuotaPerSecond <= 0 {
-		return nil
-	}
-	share := &b.shares[r.tenant]
-	rate := b.cfg.Tenants[r.tenant].QuotaPerSecond / float64(b.cfg.Instances)
-	share.left = min(share.left+rate*(b.now-share.at).Seconds(), max(rate*shareSpan, shareLeast))
-	share.at = b.now
-	return &share.left
-}
-
 // pressure moves the bound on the wait. Crowded servers can work so badly that a bearable queue never clears,
 // and only lateness shows it. Only what the queue made late counts: a heavy request is late in any queue.
 func (b *Balancer) pressure(st Status, late time.Duration, queued float64) {
--- a/balance/comeback.go
+++ b/balance/comeback.go
@@ -21,3 +21,16 @@
 	}
 	return time.Duration(in * float64(time.Second))
 }
+
+// shareLeft returns how many requests this node's part of a tenant's share still holds, brought up to
+// now, or nil where there are no shares.
+func (b *Balancer) shareLeft(r *request) *float64 {
+	if r.tenant < 0 || r.tenant >= len(b.shares) || b.cfg.Tenants[r.tenant].QuotaPerSecond <= 0 {
+		return nil
+	}
+	share := &b.shares[r.tenant]
+	rate := b.cfg.Tenants[r.tenant].QuotaPerSecond / float64(b.cfg.Instances)
+	share.left = min(share.left+rate*(b.now-share.at).Seconds(), max(rate*shareSpan, shareLeast))
+	share.at = b.now
+	return &share.left
+}
--- /dev/null
+++ b/balance/open_test.go
@@ -0,0 +1,71 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// openBalancer has one server and one open request out at it.
+func openBalancer(t *testing.T) (*Balancer, *server) {
+	t.Helper()
+	b, err := New(Config{Classes: []Class{{Aim: time.Second, Deadline: time.Second}}, Limits: Limits{MaxAttempts: 3}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Handle(time.Second, Event{Kind: MembersAll, Members: []Member{{Backend: 1}, {Backend: 2}}}, nil)
+	out := b.Handle(time.Second, Event{Kind: RequestArrived, Request: "a", Budget: time.Second, Open: true}, nil)
+	for _, a := range out {
+		if a.Kind == Send {
+			return b, b.servers[a.Backend]
+		}
+	}
+	t.Fatal("not sent")
+	return nil, nil
+}
+
+// While a request comes in its server has no more to do, and its time has not begun.
+func TestOpenRequestCountsFromItsLastByte(t *testing.T) {
+	b, s := openBalancer(t)
+	if s.out != 0 || b.silence(s) != 0 {
+		t.Errorf("out %v", s.out)
+	}
+	at := 9 * time.Second // far beyond what its client waits
+	out := b.Handle(at, Event{Kind: Written, Request: "a", Budget: time.Second}, nil)
+	if s.out != 1 {
+		t.Errorf("out %v once it is written", s.out)
+	}
+	ends := false
+	for _, a := range out {
+		ends = ends || a.Kind == SetTimer && a.In == time.Second
+	}
+	if !ends {
+		t.Errorf("nothing ends it at its deadline: %+v", out)
+	}
+	part := b.part
+	b.Handle(at+20*time.Millisecond, Event{Kind: Outcome, Request: "a", Backend: s.Backend, Spent: 20 * time.Millisecond,
+		NoMore: true}, nil)
+	if s.out != 0 || b.part < part || s.time > 0.2 {
+		t.Errorf("out %v, part %v, time %v: its client's time was taken for the server's", s.out, b.part, s.time)
+	}
+}
+
+// What is used up is not sent again; what is not may be.
+func TestSpoiltRequestIsNotSentAgain(t *testing.T) {
+	for _, spoilt := range []bool{false, true} {
+		b, s := openBalancer(t)
+		b.retries = retryMost
+		sent, refused := 0, 0
+		for _, a := range b.Handle(2*time.Second, Event{Kind: Outcome, Request: "a", Backend: s.Backend, Status: DialFailed,
+			Spoilt: spoilt}, nil) {
+			switch a.Kind {
+			case Send:
+				sent++
+			case Refuse:
+				refused++
+			}
+		}
+		if s.out != 0 || (sent == 0) != spoilt || (refused == 1) != spoilt {
+			t.Errorf("spoilt %v: sent %d times, refused %d, out %v", spoilt, sent, refused, s.out)
+		}
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -233,6 +233,7 @@
 	Outcome                            // Request, Attempt, Backend, Spent, Status, NoMore, Load
 	PeerMessage                        // Peer, Payload
 	HandedOver                         // Out: another process of this node takes what comes from now on, or no longer
+	Written                            // Request, Attempt, Budget: the last byte of an open request has gone
 	TookOver                           // this process takes what came to another one of this node
 	Cordoned                           // Backend, Out, At: taken out by hand, or put back, at that time
 )
@@ -259,6 +260,8 @@
 	Peer    int
 	Payload []byte
 	Members []Member
+	Open    bool // the request is still coming in: its time and its Budget begin when it is Written
+	Spoilt  bool // what had come of an open request is used up: it can't be sent again
 	Out     bool
 	At      time.Duration
 }
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -29,6 +31,8 @@
 	informMost = 8
 	// probeWithin is how long a probe may take: an answer that comes later tells of the past.
 	probeWithin = 150 * time.Millisecond
+	// holdWithin is how long an answer whose length is not told may be kept back to see whether it ends.
+	holdWithin = 30 * time.Millisecond
 	// reportHeader carries a load report, neverRanHeader tells that a request never ran.
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
 )
@@ -45,11 +49,13 @@
 	inline   bool          // answers carry load reports
 	written  *atomic.Int64 // counts the attempts that were written whole
 	complain *limited      // of load reports
+	large    bool          // bodies may be large
+	kept     *budget       // of answers kept whole
 	failing  *limited      // of attempts without a whole answer
 }
 
 func newExchanges(p *pool, inline bool, written *atomic.Int64, log *slog.Logger) *exchanges {
-	return &exchanges{pool: p, inline: inline, written: written, complain: &limited{log: log}, failing: &limited{log: log}}
+	return &exchanges{pool: p, inline: inline, written: written, kept: newBudget(0), complain: &limited{log: log}, failing: &limited{log: log}}
 }
 
 // message is what a client asked for, as it goes on to backends.
@@ -60,6 +66,10 @@
 	header http.Header
 	body   []byte
 	probe  bool
+
+	open    *upload          // a body that is still coming; nil: it is whole
+	left    time.Duration    // that its client will wait from its last byte on
+	written func() time.Time // tells that its last byte has gone, and returns the deadline
 }
 
 // result is how an exchange ended.
@@ -69,6 +79,8 @@
 	spent       time.Duration
 	body        []byte
 	contentType string
+	stream      *stream // the answer is still coming
+	spoilt      bool    // the request's body is used up
 }
 
 // call is an exchange under way.
@@ -91,7 +103,10 @@
 // attempt sends a message to an endpoint and calls done, from another goroutine, with how it ended. What is not
 // over by the deadline is ended then, and its connection with it.
 func (x *exchanges) attempt(to endpoint, m *message, deadline time.Time, done func(result)) *call {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithCancel(context.Background())
+	if m.open == nil { // else its time begins with its last byte
+		ctx, cancel = context.WithDeadline(context.Background(), deadline)
+	}
 	c := &call{cancel: cancel}
 	go func() {
 		defer cancel()
@@ -113,19 +128,23 @@
 		x.failed(ctx, to, "no connection", err)
 		return result{status: balance.DialFailed}
 	}
-	text, err := m.wire(to.addr, time.Until(deadline))
-	if err != nil || ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
+	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
 		x.pool.discard(cn)
 		return result{status: balance.Unused}
 	}
 	// Given up means closed, at once: nothing that comes later can reach anyone.
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
+	if m.open != nil {
+		return x.upload(ctx, cn, m, stop)
+	}
 	cn.SetDeadline(deadline)
-	if n, err := cn.Write(text); err != nil {
+	head := m.head(to.addr, time.Until(deadline))
+	text := net.Buffers{head, m.body}
+	if n, err := text.WriteTo(cn.Conn); err != nil {
 		x.pool.discard(cn)
 		x.failed(ctx, to, "not written", err)
-		if n < len(text) {
+		if n < int64(len(head)+len(m.body)) {
 			return result{status: balance.DialFailed} // the last byte never left
 		}
 		return result{status: x.broken(ctx, err)}
@@ -133,23 +152,151 @@
 	if !m.probe {
 		x.written.Add(1)
 	}
-	resp, body, err := cn.answer(m.method)
+	r, err := x.receive(cn, m, deadline, stop)
 	if err != nil {
 		x.pool.discard(cn)
 		x.failed(ctx, to, "no whole answer", err)
 		return result{status: x.broken(ctx, err)}
 	}
-	if resp.Close || cn.read.Buffered() > 0 || !stop() {
+	return r
+}
+
+// upload carries out an attempt whose body is still coming in. Its time begins with the last byte.
+func (x *exchanges) upload(ctx context.Context, cn *conn, m *message, stop func() bool) result {
+	cn.SetWriteDeadline(time.Now().Add(takeWithin))
+	if _, err := cn.Write(m.head(cn.to.addr, m.left)); err != nil {
 		x.pool.discard(cn)
-	} else {
-		cn.SetDeadline(time.Time{})
-		x.pool.put(cn)
+		x.failed(ctx, cn.to, "not written", err)
+		return result{status: balance.DialFailed, spoilt: m.open.touched()}
+	}
+	type end struct{ wrote, whole bool }
+	sent := make(chan end, 1)
+	go func() {
+		wrote, err := m.open.copyTo(cn)
+		sent <- end{wrote, err == nil}
+		switch {
+		case err == nil:
+			x.written.Add(1)
+			cn.SetReadDeadline(m.written())
+		case !wrote || timedOut(err):
+			cn.Close()
+			// After another error what the backend said before it broke off may still be read.
+		}
+	}()
+	r, err := x.receive(cn, m, time.Time{}, stop)
+	if err != nil {
+		m.open.leave()
+		x.pool.discard(cn) // from here on nothing more is written
+		status := balance.DialFailed
+		if m.open.taken.Load() {
+			// Its last byte may have gone.
+			if e := <-sent; e.whole {
+				status = x.broken(ctx, err)
+			}
+		} else if len(sent) > 0 && !(<-sent).wrote {
+			status = balance.Unused // its client did not send it
+		}
+		x.failed(ctx, cn.to, "no whole answer to a streamed request", err)
+		return result{status: status, spoilt: true}
+	}
+	r.spoilt = true
+	if r.status != balance.Delivered {
+		m.open.leave() // it has said no before the end
 	}
-	r := result{status: outcome(resp), body: body, contentType: resp.Header.Get("Content-Type")}
+	return r
+}
+
+// receive reads an answer. One that is large or long in coming is left to be streamed. The connection goes back to the
+// pool, or is ended, when the answer is whole.
+func (x *exchanges) receive(cn *conn, m *message, deadline time.Time, stop func() bool) (result, error) {
+	resp, err := cn.answer(m.method)
+	if err != nil {
+		return result{}, err
+	}
+	r := result{status: outcome(resp), contentType: resp.Header.Get("Content-Type")}
 	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
 		r.load = x.report(text)
 	}
-	return r
+	// What ends with its connection is whole if the other side says so by an orderly end.
+	delimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	done := func(whole bool) {
+		if !whole || resp.Close || delimited || cn.read.Buffered() > 0 || m.open != nil {
+			x.pool.discard(cn)
+			return
+		}
+		cn.SetDeadline(time.Time{})
+		x.pool.put(cn)
+	}
+	large := x.large && !m.probe && r.status == balance.Delivered
+	if !large && delimited {
+		return result{}, io.ErrUnexpectedEOF // nothing tells whether it is whole
+	}
+	body, ended, err := x.gather(cn, resp, large, deadline)
+	switch {
+	case err != nil:
+		return result{}, err
+	case ended && !stop():
+		x.pool.discard(cn)
+	case ended:
+		done(true)
+	case !stop():
+		return result{}, context.Canceled
+	default:
+		cn.limit.N = math.MaxInt64
+		r.stream = &stream{head: body, size: resp.ContentLength, body: resp.Body, cn: cn, end: done}
+		return r, nil
+	}
+	r.body = body
+	return r, nil
+}
+
+// gather reads an answer's body, if it can be kept whole, and otherwise what has come of it.
+func (x *exchanges) gather(cn *conn, resp *http.Response, large bool, deadline time.Time) (body []byte, ended bool, err error) {
+	size := resp.ContentLength
+	switch {
+	case !large && size > bodyMost:
+		return nil, false, errTooLong
+	case !large:
+		body, err = io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
+		if err == nil && len(body) > bodyMost {
+			err = errTooLong
+		}
+		return body, true, err
+	case size > bodyMost:
+		return nil, false, nil
+	case size >= 0:
+		if !x.kept.take(size) {
+			return nil, false, nil
+		}
+		defer x.kept.give(size)
+		body = make([]byte, size)
+		_, err = io.ReadFull(resp.Body, body)
+		return body, true, err
+	}
+	// Its length is not told: what ends soon is kept whole.
+	until := time.Now().Add(holdWithin)
+	for buf := make([]byte, 0, pieceSize); ; {
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case err == io.EOF:
+			return buf, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(buf) == cap(buf):
+			return buf, false, nil
+		case cn.read.Buffered() > 0:
+			continue
+		case deadline.IsZero():
+			return buf, false, nil
+		}
+		cn.SetReadDeadline(until)
+		_, err = cn.read.Peek(1)
+		cn.SetReadDeadline(deadline)
+		if timedOut(err) {
+			return buf, false, nil
+		}
+	}
 }
 
 // failed logs, at a bounded rate, why an attempt got no whole answer; of one that was cancelled there is nothing
@@ -184,51 +331,39 @@
 	return balance.AppError
 }
 
-// wire words the message for a backend, in one piece.
-func (m *message) wire(addr string, left time.Duration) ([]byte, error) {
-	header := m.header.Clone()
-	header.Set("X-Expires-In", strconv.FormatFloat(max(left, 0).Seconds(), 'f', 3, 64))
-	req := http.Request{Method: m.method, URL: m.url, Host: cmp.Or(m.host, addr), Header: header,
-		ContentLength: int64(len(m.body))}
-	if len(m.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(m.body))
-	} else {
-		req.Body = http.NoBody
-	}
+// head words the head of the message for a backend.
+func (m *message) head(addr string, left time.Duration) []byte {
 	var b bytes.Buffer
-	b.Grow(len(m.body) + 1<<10)
-	err := req.Write(&b)
-	return b.Bytes(), err
+	b.Grow(1 << 10)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.url.RequestURI(), cmp.Or(m.host, addr))
+	m.header.WriteSubset(&b, map[string]bool{"X-Expires-In": true, "Host": true})
+	fmt.Fprintf(&b, "X-Expires-In: %.3f\r\n", max(left, 0).Seconds())
+	switch {
+	case m.open != nil && m.open.size < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case m.open != nil:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", m.open.size)
+	case len(m.body) > 0 || m.method != http.MethodGet:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(m.body))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
 }
 
-// answer reads one whole answer.
-func (c *conn) answer(method string) (*http.Response, []byte, error) {
+// answer reads the head of an answer.
+func (c *conn) answer(method string) (*http.Response, error) {
 	c.limit.N = answerMost
 	req := &http.Request{Method: method}
 	for range informMost {
 		resp, err := http.ReadResponse(c.read, req)
 		if err != nil {
-			return nil, nil, err
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
+			return nil, err
 		}
-		if resp.ContentLength > bodyMost {
-			return nil, nil, errors.New("answer too long")
-		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
-		switch {
-		case err != nil:
-			return nil, nil, err
-		case len(body) > bodyMost:
-			return nil, nil, errors.New("answer too long")
-		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-			// It ended with its connection: nothing tells whether it is whole.
-			return nil, nil, io.ErrUnexpectedEOF
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
 		}
-		return resp, body, nil
 	}
-	return nil, nil, errors.New("too many 1xx answers")
+	return nil, errors.New("too many 1xx answers")
 }
 
 // probe asks an endpoint for its load report.
--- /dev/null
+++ b/internal/node/body_test.go
@@ -0,0 +1,356 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+)
+
+// noise is a body of some length that is costly to guess.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i>>8) ^ byte(i*7)
+	}
+	return b
+}
+
+// hashing answers with the length and the hash of each request's body.
+func hashing(c net.Conn, br *bufio.Reader) {
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		h := sha256.New()
+		n, err := io.Copy(h, r.Body)
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, ok200(fmt.Sprintf("%d %x", n, h.Sum(nil)))); err != nil {
+			return
+		}
+	}
+}
+
+func startLarge(t *testing.T, b *rawBackend) *started {
+	t.Helper()
+	return startAdmin(t, listText(1, true, listed{id: "s-a", addr: b.Addr().String(), phase: "ready"}))
+}
+
+// Bodies of any length reach a backend unchanged, in every form, and a large one is never whole in memory.
+func TestLargeRequestsAreStreamed(t *testing.T) {
+	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", hashing))
+	for _, size := range []int{0, 1, bodyMost, bodyMost + 1, 3 << 20, 20 << 20} {
+		for _, chunked := range []bool{false, true} {
+			text := noise(size)
+			sum := sha256.Sum256(text)
+			want := fmt.Sprintf("%d %s", size, hex.EncodeToString(sum[:]))
+			r := ask(t, n.url+"/x", "order", func(r *http.Request) {
+				r.Body, r.ContentLength = io.NopCloser(iotest.HalfReader(bytes.NewReader(text))), int64(size)
+				if size == 0 {
+					r.Body = http.NoBody
+				} else if chunked {
+					r.ContentLength = -1
+				}
+			})
+			resp, body := do(t, r)
+			if resp.StatusCode != 200 || body != want {
+				t.Errorf("%d bytes, chunked %v: %d %q, want %q", size, chunked, resp.StatusCode, body, want)
+			}
+		}
+	}
+	got := stats(t, n)
+	if got["pending"] != 0 || got["completed.order"] != 12 || got["upstream_requests"] != 12 {
+		t.Errorf("figures %v", got)
+	}
+}
+
+// Answers of any length and form come through whole, and what ends soon is told with its length.
+func TestLargeAnswersAreStreamed(t *testing.T) {
+	big := string(noise(5 << 20))
+	chunks := func(body string, size int) string {
+		var b strings.Builder
+		for i := 0; i < len(body); i += size {
+			piece := body[i:min(i+size, len(body))]
+			fmt.Fprintf(&b, "%x;ext=\"a;b\"\r\n%s\r\n", len(piece), piece)
+		}
+		return b.String() + "0\r\nX-Sum: 1\r\n\r\n"
+	}
+	for name, tc := range map[string]struct {
+		answer, want string
+		slow         bool // it comes in two parts
+	}{
+		"sized":              {answer: ok200(big), want: big},
+		"sized, slow":        {answer: ok200(big), want: big, slow: true},
+		"chunked":            {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n" + chunks(big, 70_001), want: big},
+		"chunked, slow":      {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(big[:40<<10], 999), want: big[:40<<10], slow: true},
+		"small chunks":       {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks("hello there", 3), want: "hello there"},
+		"ends with its end":  {answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + big, want: big},
+		"small, to its end":  {answer: "HTTP/1.0 200 OK\r\n\r\nhello", want: "hello"},
+		"1xx ahead":          {answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok200(big), want: big},
+		"beyond the largest": {answer: ok200(strings.Repeat(big, 7)), want: strings.Repeat(big, 7)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := startLarge(t, newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				text := tc.answer
+				if tc.slow {
+					cut := len(text) / 2
+					io.WriteString(c, text[:cut])
+					time.Sleep(3 * holdWithin)
+					text = text[cut:]
+				}
+				io.WriteString(c, text)
+			}))
+			resp, body := do(t, ask(t, n.url+"/x", "order"))
+			if resp.StatusCode != 200 || body != tc.want {
+				t.Errorf("%d with %d bytes, want %d", resp.StatusCode, len(body), len(tc.want))
+			}
+			if len(tc.want) < 1<<10 && resp.ContentLength != int64(len(tc.want)) {
+				t.Errorf("length %d", resp.ContentLength)
+			}
+			if got := stats(t, n)["completed.order"]; got != 1 {
+				t.Errorf("completed %d", got)
+			}
+		})
+	}
+}
+
+// An answer that breaks when some of it has been passed on is one that the client can tell is not whole, and it is
+// counted as failed.
+func TestBrokenAnswerCanBeTold(t *testing.T) {
+	part := strings.Repeat("x", 2*bodyMost)
+	for name, answer := range map[string]string{
+		"sized":   "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + part,
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + part + "\r\n",
+	} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(name+" to "+version, func(t *testing.T) {
+				n := startLarge(t, newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+					if _, err := http.ReadRequest(br); err == nil {
+						io.WriteString(c, answer)
+					}
+				}))
+				c, err := net.Dial("tcp", n.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				fmt.Fprintf(c, "POST /x %s\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: order\r\nX-Customer: acme\r\nContent-Length: 0\r\n\r\n", version)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				if err == nil {
+					t.Error("the answer looks whole")
+				}
+				eventually(t, "it is counted as failed", func() bool { return stats(t, n)["failed.order"] == 1 })
+			})
+		}
+	}
+}
+
+// What has been streamed in part is not sent again, and a backend that breaks off before the last byte never ran it.
+func TestStreamedRequestIsSentOnce(t *testing.T) {
+	var heads atomic.Int64
+	breaking := func(c net.Conn, br *bufio.Reader) {
+		if r, err := http.ReadRequest(br); err == nil && r.URL.Path == "/x" {
+			heads.Add(1)
+			io.CopyN(io.Discard, r.Body, 1<<20)
+			reset(c)
+		}
+	}
+	a, b := newRawBackend(t, "127.0.0.1:0", breaking), newRawBackend(t, "127.0.0.1:0", breaking)
+	n := startAdmin(t, listText(1, true, listed{id: "s-a", addr: a.Addr().String(), phase: "ready"},
+		listed{id: "s-b", addr: b.Addr().String(), phase: "ready"}))
+	resp, _ := do(t, ask(t, n.url+"/x", "order", func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(noise(8<<20))), 8<<20
+	}))
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if got := heads.Load(); got != 1 {
+		t.Errorf("sent %d times", got)
+	}
+	eventually(t, "it is counted as refused", func() bool { return stats(t, n)["rejected.order"] == 1 })
+	if got := stats(t, n); got["upstream_requests"] != 0 || got["pending"] != 0 {
+		t.Errorf("figures %v", got)
+	}
+}
+
+// A backend that says no before the body's end is heard at once, also by a client that goes on sending.
+func TestEarlyNoIsPassedOnAtOnce(t *testing.T) {
+	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+			io.Copy(io.Discard, br)
+		}
+	}))
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: order\r\nX-Customer: acme\r\nContent-Length: 1000000\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil) // nothing of the body has been sent
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	if _, err := c.Write(noise(1000000)); err != nil {
+		t.Errorf("the rest of the body is not read: %v", err)
+	}
+}
+
+// A client that stops within its body ends its request, and leaves nothing behind.
+func TestClientThatStopsWithinABody(t *testing.T) {
+	seen := make(chan error, 1)
+	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if r, err := http.ReadRequest(br); err == nil && r.URL.Path == "/x" {
+			_, err = io.Copy(io.Discard, r.Body)
+			seen <- err
+		}
+	}))
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: order\r\nX-Customer: acme\r\nContent-Length: 1000000\r\n\r\n")
+	c.Write(noise(200000))
+	c.Close()
+	if err := receive(t, "the end at the backend", seen); err == nil {
+		t.Error("the backend took the request for whole")
+	}
+	eventually(t, "nothing is open", func() bool { return n.open(t) == 0 && n.front.inFlight.Load() == 0 })
+	if got := stats(t, n); got["upstream_requests"] != 0 || got["pending"] != 0 {
+		t.Errorf("figures %v", got)
+	}
+}
+
+// Slow readers of large answers hold back their backends, and the memory in use stays small.
+func TestSlowReadersHoldBack(t *testing.T) {
+	const size, readers = 32 << 20, 8
+	body := noise(size)
+	var sent atomic.Int64
+	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		for i := 0; i < size; i += 64 << 10 {
+			if _, err := c.Write(body[i : i+64<<10]); err != nil {
+				return
+			}
+			sent.Add(64 << 10)
+		}
+	}))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range readers {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.(*net.TCPConn).SetReadBuffer(64 << 10)
+		fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a%p\r\nX-Qos: order\r\nX-Customer: acme\r\nContent-Length: 0\r\n\r\n", c)
+		b := make([]byte, 1<<10)
+		if k, err := c.Read(b); err != nil || !strings.HasPrefix(string(b[:k]), "HTTP/1.1 200") {
+			t.Fatalf("%q, %v", b[:k], err)
+		}
+	}
+	// Nobody reads on: what is sent comes to rest.
+	last := int64(-1)
+	eventually(t, "the backends are held back", func() bool {
+		now := sent.Load()
+		time.Sleep(20 * time.Millisecond)
+		rest := now == last
+		last = now
+		return rest
+	})
+	if last >= readers*size {
+		t.Error("the answers were taken whole")
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > readers<<20 {
+		t.Errorf("%d bytes held for %d readers", grown, readers)
+	}
+}
+
+// Only the time that the node waits for its client counts, against what it has sent.
+func TestPaceOfABody(t *testing.T) {
+	for name, c := range map[string]struct {
+		head, every time.Duration // for the head, and between two pieces
+		piece, size int
+		ok          bool
+	}{
+		"quick":             {0, 0, 1 << 10, 100 << 10, true},
+		"as slow as served": {2 * time.Second, 250 * time.Millisecond, 16 << 10, 2 << 20, true},
+		"too slow":          {0, 500 * time.Millisecond, 1 << 10, 1 << 20, false},
+		"stops":             {0, 2100 * time.Millisecond, 1 << 20, 4 << 20, false},
+		"a byte a while":    {2 * time.Second, 50 * time.Millisecond, 1, 100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out, in := net.Pipe()
+				done := make(chan struct{})
+				defer func() { out.Close(); <-done }()
+				go func() {
+					defer close(done)
+					defer in.Close()
+					for sent := 0; sent < c.size; sent += c.piece {
+						time.Sleep(c.every)
+						if _, err := in.Write(make([]byte, c.piece)); err != nil {
+							return
+						}
+					}
+				}()
+				p := &pacedBody{src: io.LimitReader(out, int64(c.size)), until: out.SetReadDeadline, waited: c.head, most: requestMost}
+				n, err := io.Copy(io.Discard, p)
+				if ok := err == nil && n == int64(c.size); ok != c.ok {
+					t.Errorf("%d bytes, %v", n, err)
+				}
+			})
+		})
+	}
+}
+
+// A body longer than is served is an error, and a budget that is used up has bodies streamed.
+func TestBoundsOfBodies(t *testing.T) {
+	p := &pacedBody{src: strings.NewReader("hello"), until: func(time.Time) error { return nil }, most: 4}
+	if _, err := io.ReadAll(p); !errors.Is(err, errTooLong) {
+		t.Errorf("%v", err)
+	}
+	b := newBudget(1)
+	if !b.take(1<<20/bodyParts) || b.take(1) {
+		t.Error("the budget is not kept")
+	}
+	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", hashing))
+	n.front.kept.force(n.front.kept.left.Load())
+	resp, body := do(t, ask(t, n.url+"/x", "order")) // "payload"
+	if sum := sha256.Sum256([]byte("payload")); resp.StatusCode != 200 || body != fmt.Sprintf("7 %x", sum) {
+		t.Errorf("%d %q", resp.StatusCode, body)
+	}
+	if n.front.kept.left.Load() != 0 {
+		t.Errorf("%d left of nothing", n.front.kept.left.Load())
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -26,7 +26,7 @@
 const (
 	// headWithin is how long a client may take to send a head, and messageWithin a whole request, counted from
 	// connecting or from the first byte of a later one: who sends nothing proper has to hear so within 3 s.
-	headWithin, messageWithin = 2 * time.Second, 2500 * time.Millisecond
+	headWithin, messageWithin = 2600 * time.Millisecond, 2800 * time.Millisecond
 	// idleWithin is how long a client may keep a connection without a request.
 	idleWithin = 30 * time.Second
 	// lingerMost is how much of a body is read that nobody wants: closing on unread bytes is a reset, which may
@@ -55,6 +55,8 @@
 	crowded  int         // so many connections that idle ones give way and answers close theirs
 	leaving  atomic.Bool // the node is about to end
 	handed   atomic.Bool // another process accepts its connections
+	large    bool        // bodies may be large
+	kept     *budget     // of requests kept whole
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
@@ -63,7 +65,7 @@
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, figures: l.figures, names: names, log: log, complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+	return &front{loop: l, figures: l.figures, kept: newBudget(0), names: names, log: log, complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]time.Time{}}
 }
 
@@ -155,11 +157,17 @@
 		return
 	}
 	defer f.inFlight.Add(-1)
-	r, status, err := f.read(w, hr, received)
+	r, status, err := f.read(w, hr, h.since)
 	if err != nil {
 		reject(w, hr, status, err.Error())
 		return
 	}
+	defer f.kept.give(int64(len(r.message.body)))
+	if r.message.open != nil {
+		// The answer may come before the body's end, and nothing can follow it then.
+		w.Header().Set("Connection", "close")
+		http.NewResponseController(w).EnableFullDuplex()
+	}
 	f.serve(w, hr.Context(), r)
 }
 
@@ -191,17 +199,36 @@
 
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *request) {
-	end := failed
-	f.figures.pending.Add(1)
-	defer func() { f.figures.pending.Add(-1); f.figures.count(r.class, end) }()
+	end, u := failed, r.message.open
+	begin, over := f.figures.pend()
+	if u == nil {
+		begin()
+	} else {
+		u.whole = begin   // a request is taken with its last byte
+		defer u.discard() // which may take its time: the request has been counted by then
+	}
+	defer func() { over(); f.figures.count(r.class, end) }()
 	f.loop.post(func() { f.loop.arrive(r) })
 	select {
 	case a := <-r.reply:
-		end = a.kind
+		if end = a.kind; a.stream != nil {
+			end = failed // until all of it has been passed on
+		}
 		if f.leaving.Load() || f.handed.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		write(w, a)
+		if u != nil {
+			http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
+		}
+		err := write(w, a)
+		if u != nil {
+			http.NewResponseController(w).Flush() // the rest of the body may take long to come
+		}
+		if err != nil {
+			f.complain.warn("answer not passed on", "error", err)
+			abort(w) // so that the client can tell
+		}
+		end = a.kind
 	case <-ctx.Done():
 		f.loop.post(func() { f.loop.gone(r) })
 		// Returning would have the library word an empty 200.
@@ -211,7 +238,8 @@
 	}
 }
 
-func write(w http.ResponseWriter, a answer) {
+// write words an answer. Its error tells that a client was not given all of one that was streamed.
+func write(w http.ResponseWriter, a answer) error {
 	switch a.kind {
 	case served:
 		if a.contentType != "" {
@@ -219,6 +247,13 @@
 		} else {
 			w.Header()["Content-Type"] = nil // none was given: guess none
 		}
+		if a.stream != nil {
+			if a.stream.size >= 0 {
+				w.Header().Set("Content-Length", strconv.FormatInt(a.stream.size, 10))
+			}
+			w.WriteHeader(http.StatusOK)
+			return a.stream.copyTo(w)
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 		w.WriteHeader(http.StatusOK)
 		w.Write(a.body)
@@ -233,6 +268,21 @@
 	case doubled:
 		http.Error(w, "another request with this id is open", http.StatusConflict)
 	}
+	return nil
+}
+
+// abort ends a client's connection within an answer. An answer that ends with its connection looks whole after an
+// orderly end, so it is a reset.
+func abort(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			if b, ok := c.(*boundedConn); ok {
+				b.reset()
+			}
+			c.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // refuse tells the client that trying again is harmless, and when it may do so.
@@ -255,7 +305,7 @@
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
 
 // read checks a request and reads its body. An error comes with the status to answer.
-func (f *front) read(w http.ResponseWriter, hr *http.Request, received time.Time) (*request, int, error) {
+func (f *front) read(w http.ResponseWriter, hr *http.Request, since time.Time) (*request, int, error) {
 	bad := func(format string, args ...any) (*request, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
@@ -300,7 +350,6 @@
 		}
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
 	}
-	r.deadline = received.Add(left - early)
 	if us, err := strconv.ParseFloat(h.Get("X-Size-Hint"), 64); err == nil && us > 0 && us < 1e12 {
 		r.hint = time.Duration(us * float64(time.Microsecond))
 	}
@@ -309,18 +358,16 @@
 		io.WriteString(sum, subject)
 		r.key, r.hasKey = sum.Sum64()>>11, true
 	}
-	if hr.ContentLength > bodyMost {
-		return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, bodyMost))
-	if err != nil {
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
-		}
+	body, open, err := f.body(w, hr, since)
+	switch {
+	case errors.Is(err, errTooLong):
+		return nil, http.StatusRequestEntityTooLarge, err
+	case err != nil:
 		return nil, http.StatusRequestTimeout, errors.New("body cut short")
+	case open == nil:
+		// The time of a request counts from its last byte.
+		r.deadline = time.Now().Add(left - early)
 	}
-	// A deadline that passes while the request is served would look as if the client had gone.
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -334,6 +381,44 @@
 	if key != "" {
 		h.Set("Idempotency-Key", key)
 	}
-	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body}
+	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body, open: open, left: left - early}
 	return r, 0, nil
 }
+
+// body reads a request's body if it can be kept whole. Else it returns what is to be streamed, where that is served.
+func (f *front) body(w http.ResponseWriter, hr *http.Request, since time.Time) ([]byte, *upload, error) {
+	size, most := hr.ContentLength, int64(bodyMost)
+	if f.large {
+		most = requestMost
+	}
+	if size > most {
+		return nil, nil, errTooLong
+	}
+	paced := newPacedBody(w, hr, since, most)
+	if size > bodyMost || size > 0 && !f.kept.take(size) {
+		if f.large {
+			return nil, &upload{src: paced, size: size}, nil
+		}
+		f.kept.force(size)
+	}
+	if size >= 0 {
+		body := make([]byte, size)
+		if _, err := io.ReadFull(paced, body); err != nil {
+			f.kept.give(size)
+			return nil, nil, err
+		}
+		paced.until(time.Time{})
+		return body, nil, nil
+	}
+	// Its length is not told.
+	body, err := io.ReadAll(io.LimitReader(paced, bodyMost+1))
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case len(body) > bodyMost:
+		return nil, &upload{src: paced, size: size, head: body}, nil
+	}
+	paced.until(time.Time{})
+	f.kept.force(int64(len(body)))
+	return body, nil, nil
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -122,6 +122,13 @@
 	release func()
 }
 
+// reset has closing the connection tell the other side that something went wrong.
+func (c *boundedConn) reset() {
+	if t, ok := c.framed.Conn.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+}
+
 func (c *boundedConn) Close() error {
 	err := c.Conn.Close()
 	c.release()
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -37,6 +38,29 @@
 	}
 }
 
+// pend returns what a request calls when it has been taken, and when it has ended, taken or not.
+func (f *figures) pend() (begin, end func()) {
+	var mu sync.Mutex
+	var begun, over bool
+	begin = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !begun && !over {
+			begun = true
+			f.pending.Add(1)
+		}
+	}
+	end = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if begun && !over {
+			f.pending.Add(-1)
+		}
+		over = true
+	}
+	return begin, end
+}
+
 func (f *figures) write(w io.Writer) {
 	const name = "edge_balancer."
 	for i, class := range f.names {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -101,6 +101,7 @@
 	retryIn     time.Duration
 	body        []byte
 	contentType string
+	stream      *stream // what is still to come of it; nil: nothing
 }
 
 // showEvery is the least time between two looks at what the module avoids.
@@ -227,14 +228,26 @@
 	}
 	l.requests[r.id] = r
 	l.counts.arrived++
+	open, budget := r.message.open != nil, max(time.Until(r.deadline), 0)
+	if open {
+		budget = r.message.left
+		r.message.written = func() time.Time { return l.sentWhole(r) }
+	}
 	l.handle(balance.Event{
 		Kind: balance.RequestArrived, Request: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, HasKey: r.hasKey,
-		Budget: max(time.Until(r.deadline), 0), Hint: r.hint, Repeat: r.repeat,
+		Budget: budget, Hint: r.hint, Repeat: r.repeat, Open: open,
 	})
 }
 
 // gone takes in that a client has closed its connection before its answer.
 func (l *loop) gone(r *request) {
+	select {
+	case a := <-r.reply: // nobody takes it
+		if a.stream != nil {
+			a.stream.end(false)
+		}
+	default:
+	}
 	if l.requests[r.id] != r || r.answered {
 		return
 	}
@@ -260,20 +273,41 @@
 	}
 	deadline := r.deadline
 	if a.Limit > 0 {
-		if limit := time.Now().Add(a.Limit); limit.Before(deadline) {
+		if limit := time.Now().Add(a.Limit); deadline.IsZero() || limit.Before(deadline) {
 			deadline = limit
 		}
 	}
 	at.call = l.back.attempt(b.to, &r.message, deadline, func(res result) {
-		l.post(func() { l.outcome(r, n, res) })
+		if !l.post(func() { l.outcome(r, n, res) }) && res.stream != nil {
+			res.stream.end(false)
+		}
+	})
+}
+
+// sentWhole takes in, from any goroutine, that the last byte of a streamed request has gone, and returns its deadline.
+func (l *loop) sentWhole(r *request) time.Time {
+	deadline := time.Now().Add(r.message.left)
+	l.post(func() {
+		r.deadline = deadline
+		if n := len(r.attempts) - 1; !r.answered && n >= 0 && !r.attempts[n].over {
+			r.attempts[n].sent = l.now()
+			l.handle(balance.Event{Kind: balance.Written, Request: r.id, Attempt: n,
+				Budget: max(time.Until(deadline), 0)})
+		}
 	})
+	return deadline
 }
 
 // outcome tells the Balancer how an attempt ended, once. What comes after it was given up changes nothing.
 func (l *loop) outcome(r *request, n int, res result) {
 	at := r.attempts[n]
-	if at.over {
-		return
+	if at.over || res.stream != nil && r.answered {
+		if res.stream != nil {
+			res.stream.end(false)
+		}
+		if at.over {
+			return
+		}
 	}
 	at.over = true
 	r.pending--
@@ -281,12 +315,12 @@
 	if res.status == balance.Delivered && !r.answered {
 		r.answered = true
 		l.counts.answers[served]++
-		r.reply <- answer{kind: served, body: res.body, contentType: res.contentType}
+		r.reply <- answer{kind: served, body: res.body, contentType: res.contentType, stream: res.stream}
 	}
 	l.forget(r)
 	l.handle(balance.Event{
 		Kind: balance.Outcome, Request: r.id, Attempt: n, Backend: at.to.number, Spent: l.now() - at.sent,
-		Status: res.status, NoMore: r.answered, Load: res.load,
+		Status: res.status, NoMore: r.answered, Load: res.load, Spoilt: res.spoilt,
 	})
 }
 
@@ -311,7 +345,7 @@
 		return
 	}
 	r.answered = true
-	a.late = !time.Now().Before(r.deadline)
+	a.late = !r.deadline.IsZero() && !time.Now().Before(r.deadline)
 	l.counts.answers[a.kind]++
 	if a.late {
 		l.counts.late++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,9 @@
 	n.loop = newLoop(bal, newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, &n.figures.upstream, log),
 		n.figures, log)
 	n.front = newFront(n.loop, cfg.Settings, n.clients, log)
+	n.front.kept = newBudget(cfg.Limits.MemoryMB)
+	n.loop.back.kept = n.front.kept
+	n.front.large, n.loop.back.large = cfg.Admin != "", cfg.Admin != ""
 	n.disco = newDiscovery(cfg.Discovery, cfg.Settings, log,
 		func(list List) {
 			kind := balance.MembersChanged
