Let the connections that keep the node waiting longest give way in a crowd

Ruled out: memory (8 of 32 MB), figures and admin calls (none late), the module (p50 24 ms).

The lines at fault: front.track let only connections give way that had brought a whole request, so half-written ones held their places, and front.isCrowded closed those of real clients after each answer.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -27,6 +27,8 @@
 	// headWithin is how long a client may take to send a head, and messageWithin a whole request, counted from
 	// connecting or from the first byte of a later one: who sends nothing proper has to hear so within 3 s.
 	headWithin, messageWithin = 2600 * time.Millisecond, 2800 * time.Millisecond
+	// headPatience is how many times as long a connection may keep the node waiting within a head as without one.
+	headPatience = 4
 	// idleWithin is how long a client may keep a connection without a request.
 	idleWithin = 30 * time.Second
 	// lingerMost is how much of a body is read that nobody wants: closing on unread bytes is a reset, which may
@@ -52,7 +54,7 @@
 	most     int64 // requests at once
 	inFlight atomic.Int64
 	figures  *figures
-	crowded  int         // so many connections that idle ones give way and answers close theirs
+	crowded  int         // so many connections that idle ones give way
 	leaving  atomic.Bool // the node is about to end
 	handed   atomic.Bool // another process accepts its connections
 	large    bool        // bodies may be large
@@ -60,13 +62,15 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
+	heads map[net.Conn]bool      // those that have not brought a whole head yet
 }
 
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, figures: l.figures, kept: newBudget(0), names: names, log: log, complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
-		conns: map[net.Conn]time.Time{}}
+	return &front{loop: l, figures: l.figures, kept: newBudget(0), names: names, log: log,
+		complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+		conns: map[net.Conn]time.Time{}, heads: map[net.Conn]bool{}}
 }
 
 // server returns the HTTP server of the client side.
@@ -90,9 +94,13 @@
 func (f *front) track(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.heads, c)
 	switch s {
 	case http.StateNew, http.StateActive:
 		f.conns[c] = time.Time{}
+		if s == http.StateNew && f.large {
+			f.heads[c] = true
+		}
 	case http.StateIdle:
 		f.conns[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
@@ -101,24 +109,48 @@
 	if s != http.StateNew || len(f.conns) <= f.crowded {
 		return
 	}
+	if oldest := f.longestIdle(); oldest != nil {
+		f.conns[oldest] = time.Time{}
+		delete(f.heads, oldest)
+		oldest.Close()
+	}
+}
+
+// longestIdle returns the connection that has kept the node waiting longest, if any. One that has begun a request may
+// take headPatience times as long: a slow client is still one that asks.
+func (f *front) longestIdle() net.Conn {
 	var oldest net.Conn
-	var since time.Time
+	var longest time.Duration
+	now := time.Now()
+	wait := func(c net.Conn, d time.Duration) {
+		if oldest == nil || d > longest {
+			oldest, longest = c, d
+		}
+	}
 	for c, at := range f.conns {
-		if !at.IsZero() && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+		if !at.IsZero() {
+			wait(c, now.Sub(at))
 		}
 	}
-	if oldest != nil {
-		f.conns[oldest] = time.Time{}
-		oldest.Close()
+	for c := range f.heads {
+		if b, ok := c.(*boundedConn); ok {
+			at, begun := b.framed.heard()
+			d := now.Sub(at)
+			if begun {
+				d /= headPatience
+			}
+			wait(c, d)
+		}
 	}
+	return oldest
 }
 
-// isCrowded tells whether there are so many connections that answers should close theirs.
+// isCrowded tells whether there are so many connections that answers should close theirs. Where unfinished heads give
+// way too there is always room, and clients should keep the connections that they use.
 func (f *front) isCrowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns) > f.crowded
+	return !f.large && len(f.conns) > f.crowded
 }
 
 // ServeHTTP answers one request of a client.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -133,7 +133,7 @@
 	// leastSockets is the smallest limit on descriptors that a node starts with, otherSockets what it keeps
 	// for all but clients and backends: listeners, discovery, standard streams, the runtime's own. adminSockets
 	// are kept beside for the second address and for what a second process of the node opens.
-	leastSockets, otherSockets, adminSockets = 64, 32, 24
+	leastSockets, otherSockets, adminSockets = 64, 32, 16
 	// usualSockets stands for a limit that is not told.
 	usualSockets = 1024
 )
@@ -147,7 +147,9 @@
 	}
 	n -= otherSockets
 	if admin {
+		// Many connections of clients may stand idle, and those need none at a backend.
 		n -= min(adminSockets, n/2)
+		return n * 5 / 8, n - n*5/8
 	}
 	return n / 2, n - n/2
 }
--- /dev/null
+++ b/internal/node/crowd_test.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// dialer connects to a node and writes a text.
+func dialer(t *testing.T, n *started) func(text string) net.Conn {
+	return func(text string) net.Conn {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, text)
+		return c
+	}
+}
+
+// However many connections stand idle or half written, requests on new ones are served, and so are those of clients
+// that keep using theirs.
+func TestCrowdsLockNobodyOut(t *testing.T) {
+	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	cfg := testConfig(t, newRegistry(t, list).addr, list)
+	cfg.Admin, cfg.StateDir, cfg.Limits.Sockets = "127.0.0.1:0", t.TempDir(), 128
+	n := start(t, cfg)
+	dial := dialer(t, n)
+	kept := &http.Transport{}
+	defer kept.CloseIdleConnections()
+	for i := range 8 * n.clients {
+		text := ""
+		if i%2 == 0 {
+			text = "POST /x HTTP/1.1\r\nHost: x\r\nX-Tra"
+		}
+		dial(text)
+		if i%16 != 0 {
+			continue
+		}
+		for name, tr := range map[string]*http.Transport{"new": {DisableKeepAlives: true}, "kept": kept} {
+			resp, err := tr.RoundTrip(ask(t, n.url+"/x", "read"))
+			if err != nil {
+				t.Fatalf("connection %d, a %s one: %v", i, name, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("connection %d, a %s one: %d", i, name, resp.StatusCode)
+			}
+		}
+	}
+	if got := n.listener.held(); got > n.clients {
+		t.Errorf("%d connections, %d allowed", got, n.clients)
+	}
+}
+
+// The connection that has kept the node waiting longest goes first, and one that has begun a request waits for a
+// quarter of its time.
+func TestWhoGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(newLoop(nil, nil, newFigures(nil), quiet()), testNames(), 64, quiet())
+		f.large = true
+		conn := func() *boundedConn {
+			framed := &framedConn{opened: time.Now()}
+			c := &boundedConn{Conn: framed, framed: framed}
+			f.track(c, http.StateNew)
+			return c
+		}
+		heard := func(c *boundedConn) { c.framed.at.Store(time.Now().UnixNano()) }
+		expect := func(what string, want *boundedConn) {
+			t.Helper()
+			if got := f.longestIdle(); got != net.Conn(want) {
+				t.Errorf("%s does not go first", what)
+			}
+		}
+		begun := conn()
+		heard(begun)
+		time.Sleep(time.Second)
+		silent := conn()
+		time.Sleep(time.Second)
+		expect("the silent one", silent)
+		time.Sleep(time.Second)
+		f.track(silent, http.StateActive)
+		expect("the one with half a head", begun)
+		idle := conn()
+		f.track(idle, http.StateActive)
+		f.track(idle, http.StateIdle)
+		time.Sleep(2 * time.Second)
+		expect("the idle one", idle)
+		f.track(idle, http.StateClosed)
+		heard(begun)
+		f.track(begun, http.StateActive)
+		if got := f.longestIdle(); got != nil {
+			t.Error("one that waits for its answer gives way")
+		}
+	})
+}
+
+// A head may take two seconds to come; TestImproperPeersHearSoInTime has those that take longer.
+func TestSlowHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := inMemory(t).dial()
+		defer c.Close()
+		head := "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
+		sent := make(chan struct{})
+		go func() { drip(c, head, 2*time.Second/time.Duration(len(head))); close(sent) }()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%+v, %v", resp, err)
+		}
+		<-sent
+	})
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -88,7 +88,8 @@
 		}
 		l.mu.Unlock()
 		if err == nil {
-			framed := &framedConn{Conn: c, next: head{since: time.Now()}}
+			now := time.Now()
+			framed := &framedConn{Conn: c, opened: now, next: head{since: now}}
 			return &boundedConn{Conn: framed, framed: framed, release: sync.OnceFunc(l.release)}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,9 @@
 	left    int64  // bytes of the body to come
 	last    bool   // where this message ends only its reader can tell: no other may follow on the connection
 
+	opened time.Time
+	at     atomic.Int64 // Unix time of the last byte that came, in nanoseconds; 0: none has
+
 	mu    sync.Mutex
 	heads []head // that the handler has not taken; more than one only of a peer that does not wait for answers
 }
@@ -56,7 +60,9 @@
 		c.surplus = c.surplus[n:]
 	} else {
 		c.surplus = nil
-		n, err = c.Conn.Read(p)
+		if n, err = c.Conn.Read(p); n > 0 {
+			c.at.Store(time.Now().UnixNano())
+		}
 	}
 	switch {
 	case c.last:
@@ -71,6 +77,14 @@
 	return n, err
 }
 
+// heard tells when the peer last sent something, or connected if it has not.
+func (c *framedConn) heard() (at time.Time, begun bool) {
+	if ns := c.at.Load(); ns > 0 {
+		return time.Unix(0, ns), true
+	}
+	return c.opened, false
+}
+
 // scan follows a head and returns how many of the bytes belong to it.
 func (c *framedConn) scan(p []byte) int {
 	if len(p) > 0 && c.next.since.IsZero() {
--- a/internal/node/improper_test.go
+++ b/internal/node/improper_test.go
@@ -44,11 +44,16 @@
 	return c
 }
 
+// testNames are the settings of a node with one class.
+func testNames() settings.Settings {
+	return settings.Settings{Classes: []string{"order"}, Config: balance.Config{
+		Classes: []balance.Class{{Deadline: time.Second}}}}
+}
+
 // inMemory runs the client side of a node on connections in memory; it serves no request.
 func inMemory(t *testing.T) *pipeListener {
 	t.Helper()
-	names := settings.Settings{Classes: []string{"order"}, Config: balance.Config{
-		Classes: []balance.Class{{Deadline: time.Second}}}}
+	names := testNames()
 	f := newFront(newLoop(nil, nil, newFigures([]string{"order"}), quiet()), names, 64, quiet())
 	l := &pipeListener{conns: make(chan net.Conn), ended: make(chan struct{})}
 	srv := f.server()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,7 @@
 	n.front = newFront(n.loop, cfg.Settings, n.clients, log)
 	n.front.kept = newBudget(cfg.Limits.MemoryMB)
 	n.loop.back.kept = n.front.kept
+	n.front.most = min(n.front.most, int64(n.backends))
 	n.front.large, n.loop.back.large = cfg.Admin != "", cfg.Admin != ""
 	n.disco = newDiscovery(cfg.Discovery, cfg.Settings, log,
 		func(list List) {
