Hand on what the module has learned to the process that takes over

At fault: the new process began with firstPace and partFirst among queues, and with no grant for cold servers for a second (onHandOver).

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -51,12 +51,16 @@
 }
 
 // onHandOver takes in that another process of this node takes what comes from now on, or that this one does. Both are
-// one node to a cold server: the old one is granted nothing more, and the new one nothing while the window of the old
-// one's last grant lasts.
+// one node to a cold server: the new one has what is left of the old one's grants, or where it is not told nothing
+// while the window of the last one lasts, and the old one has nothing more.
 func (b *Balancer) onHandOver(ev *Event) {
 	b.handed = ev.Kind == HandedOver && ev.Out
 	b.rolledAt = b.now
 	for _, s := range b.servers {
 		s.credit = min(s.credit, 0)
 	}
+	if b.handed {
+		b.retries /= 2 // the other half has gone with the Memory
+	}
+	b.recall(ev.Memory)
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -234,7 +234,7 @@
 	PeerMessage                        // Peer, Payload
 	HandedOver                         // Out: another process of this node takes what comes from now on, or no longer
 	Written                            // Request, Attempt, Budget: the last byte of an open request has gone
-	TookOver                           // this process takes what came to another one of this node
+	TookOver                           // Memory: this process takes what came to another one of this node
 	Cordoned                           // Backend, Out, At: taken out by hand, or put back, at that time
 )
 
@@ -263,6 +263,7 @@
 	Open    bool // the request is still coming in: its time and its Budget begin when it is Written
 	Spoilt  bool // what had come of an open request is used up: it can't be sent again
 	Out     bool
+	Memory  *Memory // of the process that it came to; nil: not told
 	At      time.Duration
 }
 
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -43,6 +43,12 @@
 	Backends int `json:"backends"`
 }
 
+// learned is what the module of the old process has learned, with discovery's id for each server in it.
+type learned struct {
+	Memory balance.Memory `json:"memory"`
+	IDs    []string       `json:"ids"`
+}
+
 // handing passes the node from one process to the next. Two processes that run at once are one node.
 type handing struct {
 	path   string
@@ -168,16 +174,16 @@
 	}
 }
 
-// take has the old process stop accepting, and returns what it still holds.
-func (h *handing) take() (holds, error) {
+// take has the old process stop accepting, and returns what it has learned and what it still holds.
+func (h *handing) take() (m learned, left holds, err error) {
 	h.old.SetDeadline(time.Now().Add(handWithin))
-	if _, err := io.WriteString(h.old, "take\n"); err != nil {
-		return holds{}, err
+	if _, err = io.WriteString(h.old, "take\n"); err == nil {
+		if err = h.next(&m); err == nil {
+			err = h.next(&left)
+		}
 	}
-	var left holds
-	err := h.next(&left)
 	h.old.SetDeadline(time.Time{})
-	return left, err
+	return m, left, err
 }
 
 // succession takes the node over from the process that runs already, if any, and then hands it to the next one that
@@ -225,8 +231,8 @@
 	for !n.loop.ready.Load() && ctx.Err() == nil {
 		pause(ctx, lookEvery)
 	}
-	left, err := h.take()
-	n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.TookOver}) })
+	known, left, err := h.take()
+	n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.TookOver, Memory: n.loop.recall(known)}) })
 	n.allow(left)
 	n.listener.rest(false)
 	h.serving.Store(true)
@@ -265,9 +271,19 @@
 	if string(line) != "take\n" {
 		return false, fmt.Errorf("asked %q", line)
 	}
+	var known learned
+	if err := n.loop.ask(ctx, func() { known = n.loop.remember() }); err != nil {
+		return false, err
+	}
 	n.handed(true)
 	n.log.Info("handed over")
-	err = n.tellHolds(ctx, c, &done)
+	text, err := json.Marshal(known)
+	if err == nil {
+		_, err = c.Write(append(text, '\n'))
+	}
+	if err == nil {
+		err = n.tellHolds(ctx, c, &done)
+	}
 	if !done && ctx.Err() == nil && !n.front.leaving.Load() {
 		n.handed(false)
 		n.allow(holds{})
@@ -375,6 +391,32 @@
 	return text
 }
 
+// remember returns what the module has learned.
+func (l *loop) remember() learned {
+	k := learned{Memory: l.bal.Remember()}
+	for _, s := range k.Memory.Servers {
+		k.IDs = append(k.IDs, l.byNumber[s.Backend].id)
+	}
+	return k
+}
+
+// recall returns what another process has learned, in this one's numbers. Backends that this one has not heard of are
+// left out.
+func (l *loop) recall(k learned) *balance.Memory {
+	if len(k.IDs) != len(k.Memory.Servers) {
+		return nil
+	}
+	var own []balance.ServerMemory
+	for i, s := range k.Memory.Servers {
+		if b := l.backends[k.IDs[i]]; b != nil {
+			s.Backend = b.number
+			own = append(own, s)
+		}
+	}
+	k.Memory.Servers = own
+	return &k.Memory
+}
+
 // sharePort lets both processes of a node listen on one address.
 func sharePort(_, _ string, c syscall.RawConn) error {
 	const soReusePort = 15 // package syscall does not name it on every platform
--- a/internal/node/handing_test.go
+++ b/internal/node/handing_test.go
@@ -84,9 +84,19 @@
 	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
 	var asked, bad atomic.Int64
 	stop := clients(t, old.url, &asked, &bad)
+	eventually(t, "the old process has learned something", func() bool { return stats(t, old)["completed.read"] > 50 })
 	// The new one is told an old list, and has the old process's.
 	next := process(t, dir, old.Addr().String(), listText(1, true))
 	eventually(t, "the new process is ready", func() bool { return healthy(t, next) })
+	var knows float64
+	next.onLoop(t, func() {
+		for _, s := range next.loop.bal.Remember().Servers {
+			knows += s.Time
+		}
+	})
+	if knows == 0 {
+		t.Error("the new process knows nothing of its backends")
+	}
 	before := stats(t, next)["completed.read"]
 	old.stop()
 	if err := receive(t, "the end of the old process", old.err); err != nil {
@@ -143,8 +153,8 @@
 	if got, ok := h.list(cfg); !ok || got.Members[0].ID != "s-a" || got.Revision != 1 {
 		t.Errorf("list %+v", got)
 	}
-	if left, err := h.take(); err != nil || left.Backends < keepBackends {
-		t.Fatalf("%+v, %v", left, err)
+	if known, left, err := h.take(); err != nil || left.Backends < keepBackends || len(known.IDs) != 1 || known.IDs[0] != "s-a" {
+		t.Fatalf("%+v, %+v, %v", known, left, err)
 	}
 	var handed bool
 	old.onLoop(t, func() { handed = old.front.handed.Load() })
