Pass nothing of a large answer on before some of its body is there

At fault: gather returned a large answer as a stream with nothing of its body, so that one which broke there ended its client's connection without a byte. It is an attempt without a whole answer now, as for small ones.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -262,12 +263,12 @@
 			err = errTooLong
 		}
 		return body, true, err
-	case size > bodyMost:
-		return nil, false, nil
+	case size > bodyMost || size > 0 && !x.kept.take(size):
+		// Nothing is passed on before some of the body is there: until then a failure can still be answered.
+		body = make([]byte, pieceSize)
+		n, err := io.ReadAtLeast(resp.Body, body, 1)
+		return body[:n], false, err
 	case size >= 0:
-		if !x.kept.take(size) {
-			return nil, false, nil
-		}
 		defer x.kept.give(size)
 		body = make([]byte, size)
 		_, err = io.ReadFull(resp.Body, body)
@@ -275,7 +276,13 @@
 	}
 	// Its length is not told: what ends soon is kept whole.
 	until := time.Now().Add(holdWithin)
+	if x.kept.take(bodyMost) {
+		defer x.kept.give(bodyMost)
+	} else {
+		until = time.Now()
+	}
 	for buf := make([]byte, 0, pieceSize); ; {
+		buf = slices.Grow(buf, 1)
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		switch {
@@ -283,7 +290,7 @@
 			return buf, true, nil
 		case err != nil:
 			return nil, false, err
-		case len(buf) == cap(buf):
+		case len(buf) >= bodyMost:
 			return buf, false, nil
 		case cn.read.Buffered() > 0:
 			continue
--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -167,6 +167,21 @@
 	}
 }
 
+// Where a large answer breaks before any of its body has come, its client is told so.
+func TestAnswerThatBreaksBeforeItBegins(t *testing.T) {
+	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+		}
+	}))
+	if resp, _ := do(t, ask(t, n.url+"/x", "order")); resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if got := stats(t, n)["failed.order"]; got != 1 {
+		t.Errorf("failed %d", got)
+	}
+}
+
 // What has been streamed in part is not sent again, and a backend that breaks off before the last byte never ran it.
 func TestStreamedRequestIsSentOnce(t *testing.T) {
 	var heads atomic.Int64
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -106,14 +105,50 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(f.conns, c)
 	}
-	if s != http.StateNew || len(f.conns) <= f.crowded {
-		return
+	if s == http.StateNew && len(f.conns) > f.crowded {
+		f.giveWay()
 	}
-	if oldest := f.longestIdle(); oldest != nil {
+}
+
+// giveWay ends the connection that has kept the node waiting longest. It tells whether there was one.
+func (f *front) giveWay() bool {
+	oldest := f.longestIdle()
+	if oldest != nil {
 		f.conns[oldest] = time.Time{}
 		delete(f.heads, oldest)
 		oldest.Close()
 	}
+	return oldest != nil
+}
+
+// allow sets how many connections there may be, of which those that are idle give way to new ones.
+func (f *front) allow(most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crowded = most * 3 / 4
+}
+
+// shed ends connections that keep the node waiting until there are no more than so many, if it can.
+func (f *front) shed(most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n := len(f.conns); n > most && f.giveWay(); n-- {
+	}
+}
+
+// busy counts the requests under way and the heads that have begun to come in.
+func (f *front) busy() int {
+	n := int(f.inFlight.Load())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.heads {
+		if b, ok := c.(*boundedConn); ok {
+			if _, begun := b.framed.heard(); begun {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // longestIdle returns the connection that has kept the node waiting longest, if any. One that has begun a request may
@@ -200,7 +235,7 @@
 		w.Header().Set("Connection", "close")
 		http.NewResponseController(w).EnableFullDuplex()
 	}
-	f.serve(w, hr.Context(), r)
+	f.serve(w, hr, r)
 }
 
 // framing returns what the head of a request says of its end.
@@ -230,7 +265,7 @@
 }
 
 // serve has the loop decide on a request and passes on the one final answer.
-func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *request) {
+func (f *front) serve(w http.ResponseWriter, hr *http.Request, r *request) {
 	end, u := failed, r.message.open
 	begin, over := f.figures.pend()
 	if u == nil {
@@ -258,10 +293,10 @@
 		}
 		if err != nil {
 			f.complain.warn("answer not passed on", "error", err)
-			abort(w) // so that the client can tell
+			abort(w, hr.ProtoAtLeast(1, 1) || a.stream.size >= 0)
 		}
 		end = a.kind
-	case <-ctx.Done():
+	case <-hr.Context().Done():
 		f.loop.post(func() { f.loop.gone(r) })
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
@@ -303,10 +338,11 @@
 	return nil
 }
 
-// abort ends a client's connection within an answer. An answer that ends with its connection looks whole after an
-// orderly end, so it is a reset.
-func abort(w http.ResponseWriter) {
-	if h, ok := w.(http.Hijacker); ok {
+// abort ends a client's connection within an answer, so that it can tell. An answer that ends with its connection looks
+// whole after an orderly end, so it is a reset; any other one is better ended in order, as a reset may overtake what has
+// come of it.
+func abort(w http.ResponseWriter, framed bool) {
+	if h, ok := w.(http.Hijacker); ok && !framed {
 		if c, _, err := h.Hijack(); err == nil {
 			if b, ok := c.(*boundedConn); ok {
 				b.reset()
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -25,6 +25,9 @@
 	tellEvery = 20 * time.Millisecond
 	// keepBackends is how many connections to backends the old process may always have, to finish its work.
 	keepBackends = 8
+	// settleWithin is how long after its start a new process waits for the old one to finish what it has before it
+	// says that it is ready: the old one is told to leave then, and killed soon after.
+	settleWithin = 4 * time.Second
 	// leaveAfter is how long the old process stays with nothing left to do: its figures can be read meanwhile.
 	leaveAfter = 5 * time.Second
 	// handMost bounds a message of a hand-over.
@@ -37,10 +40,11 @@
 	List      json.RawMessage `json:"list"` // in discovery's form
 }
 
-// holds is what the old process still has of the node's descriptors. It only falls.
+// holds is what the old process still has of the node's descriptors, which only falls, and to do.
 type holds struct {
 	Clients  int `json:"clients"`
 	Backends int `json:"backends"`
+	Busy     int `json:"busy"` // requests under way, which may also rise
 }
 
 // learned is what the module of the old process has learned, with discovery's id for each server in it.
@@ -54,6 +58,7 @@
 	path   string
 	listen string
 	log    *slog.Logger
+	start  time.Time
 
 	serving atomic.Bool // this process takes what comes, or has the node to itself
 
@@ -64,7 +69,8 @@
 }
 
 func newHanding(cfg Config, log *slog.Logger) *handing {
-	return &handing{path: filepath.Join(cfg.StateDir, "glencart-"+plain(cfg.Name)+".sock"), listen: cfg.Listen, log: log}
+	return &handing{path: filepath.Join(cfg.StateDir, "glencart-"+plain(cfg.Name)+".sock"), listen: cfg.Listen, log: log,
+		start: time.Now()}
 }
 
 // claim asks a process that runs already for its listener. Without one, or if it does not answer, this process
@@ -235,13 +241,18 @@
 	n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.TookOver, Memory: n.loop.recall(known)}) })
 	n.allow(left)
 	n.listener.rest(false)
-	h.serving.Store(true)
 	n.log.Info("took over", "old", left, "error", err)
+	settled := time.AfterFunc(time.Until(h.start.Add(settleWithin)), func() { h.serving.Store(true) })
+	defer settled.Stop()
 	for err == nil {
+		if left.Busy == 0 {
+			h.serving.Store(true)
+		}
 		if err = h.next(&left); err == nil {
 			n.allow(left)
 		}
 	}
+	h.serving.Store(true)
 	if ctx.Err() == nil {
 		n.log.Info("the old process has ended")
 		n.allow(holds{})
@@ -250,7 +261,9 @@
 
 // allow shares the node's descriptors with the other process.
 func (n *Node) allow(other holds) {
-	n.listener.allow(max(n.clients-other.Clients, 1))
+	clients := max(n.clients-other.Clients, 1)
+	n.listener.allow(clients)
+	n.front.allow(clients)
 	n.pool.allow(max(n.backends-other.Backends, 1))
 }
 
@@ -342,13 +355,14 @@
 		close(gone)
 	}()
 	defer func() { c.Close(); <-gone }()
-	told, open, busyAt := holds{-1, -1}, n.backends, time.Now()
+	told, open, busyAt := holds{Clients: -1}, n.backends, time.Now()
 	for {
+		n.front.shed(n.clients / 4)
 		inUse, idle := n.pool.held()
 		// Never more than before: the new process uses what this one has told that it left.
 		open = max(min(open, inUse), min(keepBackends, n.backends/4))
 		n.pool.allow(open)
-		now := holds{Clients: n.listener.held(), Backends: open}
+		now := holds{Clients: n.listener.held(), Backends: open, Busy: n.front.busy()}
 		if now != told {
 			text, _ := json.Marshal(now)
 			if _, err := c.Write(append(text, '\n')); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,6 +228,10 @@
 		cancel()
 	}()
 	err := srv.Shutdown(ctx)
+	// An answer that is still coming, and a request that is, may take longer. Whoever can't wait kills the process.
+	for n.front.large && n.front.busy() > 0 {
+		time.Sleep(lookEvery)
+	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		srv.Close()
 		err = nil
