--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,8 +228,9 @@
 		cancel()
 	}()
 	err := srv.Shutdown(ctx)
-	// An answer that is still coming, and a request that is, may take longer. Whoever can't wait kills the process.
-	for n.front.large && n.front.busy() > 0 {
+	// An answer that is still coming, and a request that is, may take longer. Whoever can't wait kills the process. Where
+	// another process serves already, heads that have begun to come in may end too.
+	for n.front.large && (n.front.inFlight.Load() > 0 || n.front.handed.Load() && n.front.busy() > 0) {
 		time.Sleep(lookEvery)
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
