--- a/internal/node/handing_test.go
+++ b/internal/node/handing_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -16,9 +18,9 @@
 )
 
 // process starts a process of a node that may run beside another one.
-func process(t *testing.T, dir, listen, list string) *started {
+func process(t *testing.T, dir, listen, list string, change ...string) *started {
 	t.Helper()
-	cfg := testConfig(t, newRegistry(t, list).addr, list)
+	cfg := testConfig(t, newRegistry(t, list).addr, list, change...)
 	cfg.Admin, cfg.StateDir = "127.0.0.1:0", dir
 	if listen != "" {
 		cfg.Listen = listen
@@ -253,3 +255,68 @@
 		}
 	}
 }
+
+// A process that has been replaced and told to leave finishes the answer that it is passing on, however long that takes,
+// and the new one says yes only when that is done.
+func TestOldProcessFinishesWhatItHas(t *testing.T) {
+	dir := t.TempDir()
+	more := make(chan struct{})
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 50000))
+			<-more
+			io.WriteString(c, strings.Repeat("x", 50000))
+		}
+	})
+	list := listText(1, true, listed{id: "s-a", addr: b.Addr().String(), phase: "ready"})
+	const deadline = 200 * time.Millisecond
+	old := process(t, dir, "", list, `"deadline":10000000000`, fmt.Sprintf(`"deadline":%d`, deadline))
+	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
+	resp, err := http.DefaultTransport.RoundTrip(ask(t, old.url+"/x", "order"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	next := process(t, dir, old.Addr().String(), list)
+	eventually(t, "it is handed over", func() bool { return old.front.handed.Load() })
+	if next.handing.serving.Load() && time.Since(next.handing.start) < settleWithin {
+		t.Error("the new process says yes while the old one is at work")
+	}
+	old.stop()
+	select {
+	case <-old.err:
+		t.Fatal("the old process ended within an answer")
+	case <-time.After(lameDuck + 2*deadline):
+	}
+	close(more)
+	if body, err := io.ReadAll(resp.Body); err != nil || len(body) != 100000 {
+		t.Errorf("%d bytes, %v", len(body), err)
+	}
+	receive(t, "the end of the old process", old.err)
+	eventually(t, "the new process is ready", func() bool { return healthy(t, next) })
+}
+
+// The old process sheds connections that keep it waiting, so that the new one has room for those that ask.
+func TestOldProcessSheds(t *testing.T) {
+	dir := t.TempDir()
+	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	old := process(t, dir, "", list)
+	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
+	for range old.clients / 2 {
+		c, err := net.Dial("tcp", old.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	eventually(t, "the crowd is in", func() bool { return old.listener.held() >= old.clients/2 })
+	next := process(t, dir, old.Addr().String(), list)
+	eventually(t, "the crowd is shed", func() bool {
+		return old.front.handed.Load() && old.listener.held() <= old.clients/4
+	})
+	eventually(t, "the new process has room", func() bool {
+		next.front.mu.Lock()
+		defer next.front.mu.Unlock()
+		return next.front.crowded >= (next.clients-next.clients/4)*3/4
+	})
+}
