Serve no request that crosses the close of its idle connection

At fault: boundedConn.Close, also from front.giveWay, could close a connection that counted as idle while the server had its next request already; the client sent that again, and the handler served the first copy as well. The handler now sees that the connection was ended and drops the request.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// endIdle ends connections that have brought their requests and have been idle for so long.
+func (f *front) endIdle(least time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, at := range f.conns {
+		if !at.IsZero() && time.Since(at) >= least {
+			f.conns[c] = time.Time{}
+			c.Close()
+		}
+	}
+}
+
 // busy counts the requests under way and the heads that have begun to come in.
 func (f *front) busy() int {
 	n := int(f.inFlight.Load())
@@ -196,6 +208,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	h := framing(hr, received)
+	if h.ended {
+		panic(http.ErrAbortHandler) // nobody can be answered
+	}
 	// Set before anything else: what the library does with an unread body would wait for it without end.
 	http.NewResponseController(w).SetReadDeadline(h.since.Add(messageWithin))
 	if h.trouble != "" {
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +117,31 @@
 		<-sent
 	})
 }
+
+// A request that crosses the close of its idle connection is not served: its client sends it again.
+func TestCrossingRequestIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(newLoop(nil, nil, newFigures(nil), quiet()), testNames(), 64, quiet())
+		client, server := net.Pipe()
+		defer client.Close()
+		framed := &framedConn{Conn: server, opened: time.Now()}
+		c := &boundedConn{Conn: framed, framed: framed, release: func() {}}
+		f.track(c, http.StateNew)
+		f.track(c, http.StateActive)
+		f.track(c, http.StateIdle)
+		go io.WriteString(client, "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+		hr, err := http.ReadRequest(bufio.NewReader(framed)) // the server has it, but not yet said so
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.endIdle(0)
+		f.track(c, http.StateActive)
+		w := httptest.NewRecorder()
+		defer func() {
+			if recover() != http.ErrAbortHandler {
+				t.Errorf("answered %d", w.Code)
+			}
+		}()
+		f.ServeHTTP(w, hr.WithContext(withFramed(t.Context(), c)))
+	})
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -131,6 +131,7 @@
 }
 
 func (c *boundedConn) Close() error {
+	c.framed.end()
 	err := c.Conn.Close()
 	c.release()
 	return err
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -32,6 +32,7 @@
 	at     atomic.Int64 // Unix time of the last byte that came, in nanoseconds; 0: none has
 
 	mu    sync.Mutex
+	ended bool   // this side has closed the connection
 	heads []head // that the handler has not taken; more than one only of a peer that does not wait for answers
 }
 
@@ -43,6 +44,7 @@
 	size    int64
 	last    bool      // no other message may follow
 	trouble string    // why it can't be served; "" if it can
+	ended   bool      // the connection was closed before it could be served
 	since   time.Time // its first byte, or the start of the connection for the first one
 }
 
@@ -148,11 +150,22 @@
 	}
 }
 
+// end takes in that this side closes the connection. Its client takes a request that crosses the close for unread and
+// sends it again, so it must not be served.
+func (c *framedConn) end() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+}
+
 // take returns the head of the request that the handler serves now. Without one the server has found a request
 // where none began.
 func (c *framedConn) take() head {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		return head{last: true, ended: true}
+	}
 	if len(c.heads) == 0 {
 		return head{last: true, trouble: "no head", since: time.Now()}
 	}
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -27,7 +27,10 @@
 	keepBackends = 8
 	// settleWithin is how long after its start a new process waits for the old one to finish what it has before it
 	// says that it is ready: the old one is told to leave then, and killed soon after.
-	settleWithin = 4 * time.Second
+	settleWithin = 5 * time.Second
+	// idleLeast is how long a connection to the old process is idle before it is closed: the next request of a busy
+	// client is on its way sooner.
+	idleLeast = 50 * time.Millisecond
 	// leaveAfter is how long the old process stays with nothing left to do: its figures can be read meanwhile.
 	leaveAfter = 5 * time.Second
 	// handMost bounds a message of a hand-over.
@@ -357,6 +360,8 @@
 	defer func() { c.Close(); <-gone }()
 	told, open, busyAt := holds{Clients: -1}, n.backends, time.Now()
 	for {
+		// What begins here now may not end in time. Who asks on a kept connection as it is closed asks again.
+		n.front.endIdle(idleLeast)
 		n.front.shed(n.clients / 4)
 		inUse, idle := n.pool.held()
 		// Never more than before: the new process uses what this one has told that it left.
