Hold answers of untold length to 16 KiB again, not to 64

Only the first bytes of a long answer are timed, and they waited for more. What a broken one needed was mended by passing on nothing before some of its body is there.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -276,8 +276,8 @@
 	}
 	// Its length is not told: what ends soon is kept whole.
 	until := time.Now().Add(holdWithin)
-	if x.kept.take(bodyMost) {
-		defer x.kept.give(bodyMost)
+	if x.kept.take(pieceSize) {
+		defer x.kept.give(pieceSize)
 	} else {
 		until = time.Now()
 	}
@@ -290,7 +290,7 @@
 			return buf, true, nil
 		case err != nil:
 			return nil, false, err
-		case len(buf) >= bodyMost:
+		case len(buf) >= pieceSize:
 			return buf, false, nil
 		case cn.read.Buffered() > 0:
 			continue
