Read an unwanted body to its end, however slowly its client sends

At fault: upload.discard stopped after three seconds and the connection was closed on unread bytes, a reset that took the refusal with it.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -19,8 +19,6 @@
 	leastRate, stallMost = 32 << 10, 2 * time.Second
 	// takeWithin is how long the other side may take none of what is streamed to it, or give nothing of it.
 	takeWithin = 10 * time.Second
-	// discardWithin is how long a body that nobody wants is read, so that its sender hears the answer.
-	discardWithin = 3 * time.Second
 	// pieceSize is what is streamed at once.
 	pieceSize = 16 << 10
 	// bodyParts is the part of the memory limit that bodies kept whole may take.
@@ -150,15 +148,15 @@
 	}()
 }
 
-// discard reads what is left of the body, for a while: closing on unread bytes is a reset, which may overtake the
-// answer.
+// discard reads what is left of the body: closing on unread bytes is a reset, which may overtake the answer, and a client
+// may read that only when it has sent all. The body's pace and its bound still hold.
 func (u *upload) discard() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.off = true
 	p := pieces.Get().(*[pieceSize]byte)
 	defer pieces.Put(p)
-	for end := time.Now().Add(discardWithin); u.err == nil && time.Now().Before(end); {
+	for u.err == nil {
 		_, u.err = u.src.Read(p[:])
 	}
 }
--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -369,3 +369,27 @@
 		t.Errorf("%d left of nothing", n.front.kept.left.Load())
 	}
 }
+
+// A body that nobody wants is read to its end all the same, however slowly its client sends: closing on it would reset
+// the connection, and the answer with it.
+func TestUnwantedBodyIsReadToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upload{src: &slowReader{left: 20}, size: -1}
+		u.discard()
+		if u.err != io.EOF {
+			t.Errorf("stopped early: %v", u.err)
+		}
+	})
+}
+
+// slowReader gives a byte a second.
+type slowReader struct{ left int }
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Second)
+	r.left--
+	return 1, nil
+}
