Test the lab end to end: a killed backend and a paused node, and a planted double effect

Change: lab_test.go builds glencart and hitchvale once and plays 3 nodes and 6 backends for 5 s at 200/s with a backend killed, a node paused 2 s and a backend drained (all checks must hold), and the same fleet with backends that run every POST twice (the double-effect check must fail). goleak checks that the lab leaves no goroutine.

--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,121 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	buildOnce sync.Once
+	binDir    string
+	buildErr  error
+)
+
+// binaries builds glencart and hitchvale once for the tests that start them.
+func binaries(t *testing.T) (glencart, hitchvale string) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	buildOnce.Do(func() {
+		binDir, buildErr = os.MkdirTemp("", "lab-bin")
+		if buildErr != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", binDir+"/", "glencart/cmd/glencart", "glencart/cmd/hitchvale")
+		out, err := cmd.CombinedOutput()
+		if err != nil {
+			buildErr = err
+			t.Logf("%s", out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatalf("build: %v", buildErr)
+	}
+	return filepath.Join(binDir, "glencart"), filepath.Join(binDir, "hitchvale")
+}
+
+func runScenario(t *testing.T, text string) Report {
+	t.Helper()
+	glencart, hitchvale := binaries(t)
+	s, err := ParseScenario([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	r, err := Run(ctx, s, Options{Glencart: glencart, Hitchvale: hitchvale, Out: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+const fleet = `
+name = "test"
+seed = 3
+duration = "5s"
+nodes = 3
+backends = 6
+[load]
+rate = 200
+deadline = "1s"
+unsafe = 0.3
+[backend]
+service = "2ms"
+`
+
+// A backend killed and a node paused for 2 s: every request that the paused node did not hold gets its answer,
+// none runs twice, and the drained backend gets nothing past the grace.
+func TestKilledBackendAndPausedNodeKeepTheInvariants(t *testing.T) {
+	r := runScenario(t, fleet+`
+twice = false
+[[fault]]
+at = "1s"
+kind = "kill"
+target = ["backend-2"]
+[[fault]]
+at = "2s"
+kind = "pause"
+target = ["node-1"]
+for = "2s"
+[[fault]]
+at = "2s"
+kind = "drain"
+target = ["backend-4"]
+`)
+	for _, c := range r.Checks {
+		if !c.OK {
+			t.Errorf("%s: %d violations, %v", c.Name, c.Violations, c.Examples)
+		}
+	}
+	if r.Counts["served"] < r.Counts["none"]+r.Counts["broken"] || r.Runs == 0 {
+		t.Errorf("too little served to judge: %v", r.Counts)
+	}
+	if len(r.Faults) != 3 || r.Faults[0].Error != "" {
+		t.Errorf("faults as applied: %+v", r.Faults)
+	}
+}
+
+// A backend that runs every POST twice must fail the check on double effects.
+func TestPlantedDoubleEffectIsCaught(t *testing.T) {
+	r := runScenario(t, fleet+"twice = true\n")
+	for _, c := range r.Checks {
+		if strings.Contains(c.Name, "twice") && c.OK {
+			t.Fatalf("%s passed over %d executions", c.Name, r.Runs)
+		}
+	}
+	if r.Passed {
+		t.Fatal("the report passed")
+	}
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -105,7 +105,7 @@
 	}
 	for _, p := range []struct {
 		file, title, unit string
-		lines            map[string]func(Second) float64
+		lines             map[string]func(Second) float64
 	}{
 		{"throughput.png", "answers by the second they were asked", "requests", map[string]func(Second) float64{
 			"sent": func(s Second) float64 { return float64(s.Sent) }, "served": func(s Second) float64 { return float64(s.Served) }}},
--- /dev/null
+++ b/internal/lab/scenario_test.go
@@ -0,0 +1,31 @@
+package lab
+
+import (
+	"strings"
+	"testing"
+)
+
+// A bad scenario is refused with its line and key named; nothing is started.
+func TestBadScenarioNamesLineAndKey(t *testing.T) {
+	base := "name = \"x\"\nnodes = 2\nbackends = 2\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"typo":         {base + "[load]\nrat = 5\n", `line 5: unknown key "load.rat"`},
+		"wrong type":   {base + "seed = \"seven\"\n", `line 4`},
+		"bad duration": {base + "duration = \"ten\"\n", `line 4`},
+		"range":        {base + "[load]\nunsafe = 2.0\n", `"load.unsafe"`},
+		"fault kind":   {base + "[[fault]]\nat = \"1s\"\nkind = \"explode\"\ntarget = [\"node-0\"]\n", `"explode" is not a fault kind`},
+		"no such node": {base + "[[fault]]\nat = \"1s\"\nkind = \"kill\"\ntarget = [\"node-2\"]\n", `there are 2 of node`},
+		"bad link":     {base + "[[fault]]\nat = \"1s\"\nkind = \"partition\"\ntarget = [\"node-0:node-1\"]\n", `not a link`},
+		"drain a node": {base + "[[fault]]\nat = \"1s\"\nkind = \"drain\"\ntarget = [\"node-0\"]\n", `does not apply`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseScenario([]byte(c.text))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("got %v, want %q", err, c.want)
+			}
+		})
+	}
+	if _, err := ParseScenario([]byte(base + "[[fault]]\nat = \"1s\"\nkind = \"partition\"\ntarget = [\"node-*:backend-1\"]\nfor = \"1s\"\n")); err != nil {
+		t.Fatalf("a good scenario: %v", err)
+	}
+}
