Add the registry: a raft-replicated list served as PROTOCOL's discovery

Reads and the watch follow PROTOCOL; a follower serves while it heard from the leader within stale_read, else 503. Watches wait on one change ring per replica; one older than the ring gets the whole list. Writes to a follower are forwarded to the leader once; bad input gets 400 and changes nothing; calls over max_calls get 503 at once.

Measured: 3 replicas in one test: 20 writes through a follower, leader stopped, the new leader holds all 20 at revision 20 and the next write is 21; five kinds of bad body get 400. A lone replica of three stays a candidate and refuses writes with 503.

--- /dev/null
+++ b/cmd/hitchvale/registry.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/spf13/cobra"
+
+	"glencart/internal/registry"
+)
+
+func registryCmd(g *globals) *cobra.Command {
+	c := &cobra.Command{Use: "registry", Short: "The replicated list service (PROTOCOL's discovery)"}
+	c.AddCommand(registryServeCmd(g))
+	return c
+}
+
+func registryServeCmd(g *globals) *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "serve --config FILE",
+		Short: "Run one replica until SIGTERM or Ctrl-C",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			log, err := g.logger()
+			if err != nil {
+				return err
+			}
+			cfg, err := registry.LoadConfig(path)
+			if err != nil {
+				return usage(err)
+			}
+			raftLn, err := net.Listen("tcp", cfg.Raft)
+			if err != nil {
+				return failed(fmt.Errorf("raft: %w", err))
+			}
+			httpLn, err := net.Listen("tcp", cfg.HTTP)
+			if err != nil {
+				raftLn.Close()
+				return failed(fmt.Errorf("http: %w", err))
+			}
+			r, err := registry.Open(cfg, raftLn, log)
+			if err != nil {
+				httpLn.Close()
+				return failed(err)
+			}
+			log.Info("serving", "component", "registry", "node", cfg.ID, "http", cfg.HTTP, "raft", cfg.Raft)
+			serveErr := r.Serve(cmd.Context(), httpLn)
+			if err := r.Close(); err != nil {
+				return failed(err)
+			}
+			if serveErr != nil {
+				return failed(serveErr)
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "the replica's TOML file (see deploy/registry.toml)")
+	c.MarkFlagRequired("config")
+	return c
+}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -4,14 +4,13 @@
 package lab
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"glencart/internal/tomlconf"
 )
 
 // Scenario is one experiment, as written in a TOML file.
@@ -65,20 +64,7 @@
 }
 
 // Duration is a time.Duration written as "2s" or "150ms" in TOML.
-type Duration struct{ time.Duration }
-
-// UnmarshalText reads a Go duration.
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	if err != nil {
-		return err
-	}
-	d.Duration = v
-	return nil
-}
-
-// MarshalText writes a Go duration.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+type Duration = tomlconf.Duration
 
 var faultKinds = map[string]bool{"kill": true, "term": true, "pause": true, "restart": true, "power": true,
 	"partition": true, "delay": true, "reset": true, "drop": true, "drain": true, "fill": true}
@@ -99,34 +85,14 @@
 // ParseScenario decodes a scenario strictly: an unknown key, a wrong type or a value out of range is an error
 // that names its line and key.
 func ParseScenario(text []byte) (Scenario, error) {
-	s := Scenario{Duration: Duration{10 * time.Second}, Grace: Duration{time.Second},
-		Load: Load{Rate: 100, Count: 100000, Deadline: Duration{time.Second}}}
-	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Scenario{}, describe(err)
+	s := Scenario{Duration: Duration{Duration: 10 * time.Second}, Grace: Duration{Duration: time.Second},
+		Load: Load{Rate: 100, Count: 100000, Deadline: Duration{Duration: time.Second}}}
+	if err := tomlconf.Decode(text, &s); err != nil {
+		return Scenario{}, err
 	}
 	return s, s.check()
 }
 
-// describe turns the decoder's errors into one line with the position and key.
-func describe(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		row, _ := e.Position()
-		return fmt.Errorf("line %d: unknown key %q", row, strings.Join(e.Key(), "."))
-	}
-	var dec *toml.DecodeError
-	if errors.As(err, &dec) {
-		row, _ := dec.Position()
-		if k := dec.Key(); len(k) > 0 {
-			return fmt.Errorf("line %d: key %q: %s", row, strings.Join(k, "."), dec.Error())
-		}
-		return fmt.Errorf("line %d: %s", row, dec.Error())
-	}
-	return err
-}
-
 func (s Scenario) check() error {
 	switch {
 	case s.Nodes < 1 || s.Nodes > 64:
--- /dev/null
+++ b/internal/registry/config.go
@@ -0,0 +1,130 @@
+package registry
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"glencart/internal/tomlconf"
+)
+
+// Config is a replica's configuration file (TOML; see deploy/registry.toml and docs/registry.md).
+type Config struct {
+	ID        string `toml:"id"`
+	DataDir   string `toml:"data_dir"`
+	HTTP      string `toml:"http"` // host:port of the list's HTTP side
+	Raft      string `toml:"raft"` // host:port of raft's TCP transport
+	Bootstrap bool   `toml:"bootstrap"`
+	// StaleRead is how long since it last heard from the leader a follower still serves reads.
+	StaleRead tomlconf.Duration `toml:"stale_read"`
+	Ring      int               `toml:"ring"`      // changes kept for watches
+	MaxCalls  int               `toml:"max_calls"` // calls served at once; more get 503 at once
+	// DefaultTTL applies to members registered without a TTL; 0 keeps them until deregistered.
+	DefaultTTL tomlconf.Duration `toml:"default_ttl"`
+	Timing     Timing            `toml:"raft_timing"`
+	Peers      []Peer            `toml:"peer"`
+}
+
+// Timing are raft's timeouts and snapshot policy (hashicorp/raft's Config of the same names).
+type Timing struct {
+	Heartbeat         tomlconf.Duration `toml:"heartbeat"`
+	Election          tomlconf.Duration `toml:"election"`
+	LeaderLease       tomlconf.Duration `toml:"leader_lease"`
+	Commit            tomlconf.Duration `toml:"commit"`
+	SnapshotInterval  tomlconf.Duration `toml:"snapshot_interval"`
+	SnapshotThreshold uint64            `toml:"snapshot_threshold"`
+	TrailingLogs      uint64            `toml:"trailing_logs"`
+}
+
+// Peer is one replica of the cluster, this one included.
+type Peer struct {
+	ID   string `toml:"id"`
+	Raft string `toml:"raft"`
+	HTTP string `toml:"http"`
+}
+
+func defaults() Config {
+	d := func(v time.Duration) tomlconf.Duration { return tomlconf.Duration{Duration: v} }
+	return Config{StaleRead: d(time.Second), Ring: 4096, MaxCalls: 2048, Timing: Timing{
+		Heartbeat: d(500 * time.Millisecond), Election: d(500 * time.Millisecond), LeaderLease: d(250 * time.Millisecond),
+		Commit: d(10 * time.Millisecond), SnapshotInterval: d(30 * time.Second), SnapshotThreshold: 8192, TrailingLogs: 10240}}
+}
+
+// LoadConfig reads and checks a replica's file; errors name the file, and the line and key where they can.
+func LoadConfig(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("registry configuration: %w", err)
+	}
+	c, err := ParseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// ParseConfig decodes a configuration strictly and checks it.
+func ParseConfig(text []byte) (Config, error) {
+	c := defaults()
+	if err := tomlconf.Decode(text, &c); err != nil {
+		return Config{}, err
+	}
+	return c, c.Check()
+}
+
+// Check refuses what cannot work: missing names, bad addresses, a cluster without this replica, timeouts out of
+// order.
+func (c Config) Check() error {
+	if c.ID == "" {
+		return fmt.Errorf("key %q: missing", "id")
+	}
+	if c.DataDir == "" {
+		return fmt.Errorf("key %q: missing", "data_dir")
+	}
+	for _, a := range []struct{ key, addr string }{{"http", c.HTTP}, {"raft", c.Raft}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return fmt.Errorf("key %q: %q is not an address with a port", a.key, a.addr)
+		}
+	}
+	t := c.Timing
+	switch {
+	case c.Ring < 16:
+		return fmt.Errorf("key %q: %d is below 16", "ring", c.Ring)
+	case c.MaxCalls < 1:
+		return fmt.Errorf("key %q: %d is below 1", "max_calls", c.MaxCalls)
+	case t.Heartbeat.Duration < 5*time.Millisecond:
+		return fmt.Errorf("key %q: %s is below 5ms", "raft_timing.heartbeat", t.Heartbeat)
+	case t.Election.Duration < t.Heartbeat.Duration:
+		return fmt.Errorf("key %q: %s is below the heartbeat's %s", "raft_timing.election", t.Election, t.Heartbeat)
+	case t.LeaderLease.Duration <= 0 || t.LeaderLease.Duration > t.Heartbeat.Duration:
+		return fmt.Errorf("key %q: %s is not within 0 and the heartbeat's %s", "raft_timing.leader_lease", t.LeaderLease, t.Heartbeat)
+	case t.Commit.Duration <= 0:
+		return fmt.Errorf("key %q: must be above 0", "raft_timing.commit")
+	case c.StaleRead.Duration < 0:
+		return fmt.Errorf("key %q: negative", "stale_read")
+	}
+	self := false
+	seen := map[string]bool{}
+	for i, p := range c.Peers {
+		if p.ID == "" || seen[p.ID] {
+			return fmt.Errorf("peer %d: key %q: missing or repeated", i+1, "id")
+		}
+		seen[p.ID] = true
+		for _, a := range []struct{ key, addr string }{{"raft", p.Raft}, {"http", p.HTTP}} {
+			if _, err := netip.ParseAddrPort(a.addr); err != nil {
+				return fmt.Errorf("peer %s: key %q: %q is not an address with a port", p.ID, a.key, a.addr)
+			}
+		}
+		if p.ID == c.ID {
+			self = true
+			if p.Raft != c.Raft || p.HTTP != c.HTTP {
+				return fmt.Errorf("peer %s: addresses differ from the replica's own", p.ID)
+			}
+		}
+	}
+	if len(c.Peers) > 0 && !self {
+		return fmt.Errorf("key %q: this replica (%s) is not among the peers", "peer", c.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/registry/http.go
@@ -0,0 +1,274 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// bodyMost bounds a write's body, as PROTOCOL bounds bodies.
+const bodyMost = 64 << 10
+
+// maxWait is PROTOCOL's bound on a watch's wait_ms.
+const maxWait = 60 * time.Second
+
+// forwardedHeader marks a write that a follower passed to the leader, so that it is never passed on twice.
+const forwardedHeader = "X-Registry-Forwarded"
+
+// Handler serves the replica's HTTP side:
+//
+//	GET    /registry/instances                    the whole list (PROTOCOL)
+//	GET    /registry/instances?after=R&wait_ms=W  a watch (PROTOCOL)
+//	POST   /registry/members                      {"member":{...},"ttl_ms":N}: register or replace
+//	PUT    /registry/members/{id}/phase           {"phase":"ready"|"draining"}
+//	DELETE /registry/members/{id}                 deregister: the member is gone among changes
+//	POST   /registry/members/{id}/heartbeat       keep its TTL
+//	GET    /registry/status                       this replica's role, leader and revision
+//
+// Writes answer 200 {"revision":R} once applied; 400 {"error":...} for bad input, changing nothing; 404 for an
+// unknown id; 503 where no leader can take it. Over max_calls at once, calls get 503 at once.
+func (r *Replica) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", r.serveList)
+	mux.HandleFunc("POST /registry/members", r.writeHandler(r.register))
+	mux.HandleFunc("PUT /registry/members/{id}/phase", r.writeHandler(r.phase))
+	mux.HandleFunc("DELETE /registry/members/{id}", r.writeHandler(r.deregister))
+	mux.HandleFunc("POST /registry/members/{id}/heartbeat", r.serveHeartbeat)
+	mux.HandleFunc("GET /registry/status", r.serveStatus)
+	calls := make(chan struct{}, r.cfg.MaxCalls)
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case calls <- struct{}{}:
+			defer func() { <-calls }()
+			mux.ServeHTTP(w, req)
+		default:
+			w.Header().Set("Retry-After", "1")
+			fail(w, http.StatusServiceUnavailable, errors.New("too many calls"))
+		}
+	})
+}
+
+// Serve answers on ln until ctx ends.
+func (r *Replica) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-done:
+		}
+		srv.Close()
+	}()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func fail(w http.ResponseWriter, code int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+// serveList answers a read or a watch, from this replica's state where it is fresh enough, else 503.
+func (r *Replica) serveList(w http.ResponseWriter, req *http.Request) {
+	q := req.URL.Query()
+	if !q.Has("after") {
+		if !r.fresh() {
+			fail(w, http.StatusServiceUnavailable, errors.New("this replica has not heard from a leader lately"))
+			return
+		}
+		var l List
+		r.fsm.read(func(s *State) { l = s.Whole() })
+		answer(w, l)
+		return
+	}
+	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, fmt.Errorf("after: %q is not a revision", q.Get("after")))
+		return
+	}
+	waitMs, err := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	if err != nil || waitMs < 0 {
+		fail(w, http.StatusBadRequest, fmt.Errorf("wait_ms: %q is not a number of milliseconds", q.Get("wait_ms")))
+		return
+	}
+	l, ok := r.watch(req.Context(), after, min(time.Duration(waitMs)*time.Millisecond, maxWait))
+	if !ok {
+		fail(w, http.StatusServiceUnavailable, errors.New("this replica has not heard from a leader lately"))
+		return
+	}
+	answer(w, l)
+}
+
+// watch waits until the list passes after, the wait ends or the caller goes, then gives what changed. It fails
+// where this replica is not fresh when it would answer.
+func (r *Replica) watch(ctx context.Context, after int64, wait time.Duration) (List, bool) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		var l List
+		var rev int64
+		next := r.fsm.read(func(s *State) { rev = s.Revision; l = s.Since(after) })
+		if rev > after || after > rev {
+			return l, r.fresh()
+		}
+		select {
+		case <-next:
+		case <-t.C:
+			return l, r.fresh()
+		case <-ctx.Done():
+			return l, false
+		}
+	}
+}
+
+// writeHandler decodes a write and commits it on the leader, or passes it to the leader.
+func (r *Replica) writeHandler(decode func(*http.Request) (Command, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if !r.Leader() {
+			r.forward(w, req)
+			return
+		}
+		req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
+		c, err := decode(req)
+		if err != nil {
+			fail(w, http.StatusBadRequest, err)
+			return
+		}
+		res, err := r.Write(c)
+		switch {
+		case errors.Is(err, ErrNotLeader):
+			fail(w, http.StatusServiceUnavailable, err)
+		case err != nil:
+			fail(w, http.StatusServiceUnavailable, fmt.Errorf("not committed: %w", err))
+		case errors.Is(res.Err, ErrUnknown):
+			fail(w, http.StatusNotFound, res.Err)
+		case res.Err != nil:
+			fail(w, http.StatusBadRequest, res.Err)
+		default:
+			answer(w, map[string]int64{"revision": res.Revision})
+		}
+	}
+}
+
+// forward passes a write to the leader's HTTP address, once.
+func (r *Replica) forward(w http.ResponseWriter, req *http.Request) {
+	leader := r.leaderHTTP()
+	if leader == "" || req.Header.Get(forwardedHeader) != "" {
+		w.Header().Set("Retry-After", "1")
+		fail(w, http.StatusServiceUnavailable, fmt.Errorf("%w; leader at %q", ErrNotLeader, leader))
+		return
+	}
+	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: leader})
+	p.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, err error) {
+		fail(w, http.StatusServiceUnavailable, fmt.Errorf("leader at %s: %w", leader, err))
+	}
+	req.Header.Set(forwardedHeader, r.cfg.ID)
+	p.ServeHTTP(w, req)
+}
+
+func decodeBody(req *http.Request, v any) error {
+	dec := json.NewDecoder(req.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		var tooBig *http.MaxBytesError
+		if errors.As(err, &tooBig) {
+			return fmt.Errorf("body over %d bytes", bodyMost)
+		}
+		return fmt.Errorf("body: %w", err)
+	}
+	return nil
+}
+
+func (r *Replica) register(req *http.Request) (Command, error) {
+	var b struct {
+		Member Member `json:"member"`
+		TTLms  int64  `json:"ttl_ms"`
+	}
+	if err := decodeBody(req, &b); err != nil {
+		return Command{}, err
+	}
+	if b.Member.Phase == "" {
+		b.Member.Phase = Ready
+	}
+	if b.TTLms < 0 {
+		return Command{}, errors.New("ttl_ms: negative")
+	}
+	if b.TTLms == 0 {
+		b.TTLms = r.cfg.DefaultTTL.Milliseconds()
+	}
+	if err := b.Member.Validate(); err != nil {
+		return Command{}, err
+	}
+	return Command{Op: "register", Member: b.Member, TTLms: b.TTLms}, nil
+}
+
+func (r *Replica) phase(req *http.Request) (Command, error) {
+	var b struct {
+		Phase string `json:"phase"`
+	}
+	if err := decodeBody(req, &b); err != nil {
+		return Command{}, err
+	}
+	if b.Phase != Ready && b.Phase != Draining {
+		return Command{}, fmt.Errorf("phase %q is neither ready nor draining", b.Phase)
+	}
+	return Command{Op: "phase", ID: req.PathValue("id"), Phase: b.Phase}, nil
+}
+
+func (r *Replica) deregister(req *http.Request) (Command, error) {
+	return Command{Op: "deregister", ID: req.PathValue("id")}, nil
+}
+
+func (r *Replica) serveHeartbeat(w http.ResponseWriter, req *http.Request) {
+	if !r.Leader() {
+		r.forward(w, req)
+		return
+	}
+	switch err := r.Heartbeat(req.PathValue("id")); {
+	case errors.Is(err, ErrUnknown):
+		fail(w, http.StatusNotFound, err)
+	case err != nil:
+		fail(w, http.StatusServiceUnavailable, err)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// Status is what /registry/status tells.
+type Status struct {
+	ID       string `json:"id"`
+	State    string `json:"state"`
+	Leader   string `json:"leader"` // its HTTP address
+	Revision int64  `json:"revision"`
+	Term     string `json:"term"`
+	Applied  uint64 `json:"applied_index"`
+	Fresh    bool   `json:"fresh"`
+}
+
+func (r *Replica) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	answer(w, r.Status())
+}
+
+// Status reports this replica's role and state.
+func (r *Replica) Status() Status {
+	s := Status{ID: r.cfg.ID, State: r.raft.State().String(), Leader: r.leaderHTTP(), Term: r.raft.Stats()["term"],
+		Applied: r.raft.AppliedIndex(), Fresh: r.fresh()}
+	r.fsm.read(func(st *State) { s.Revision = st.Revision })
+	return s
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,167 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A watch from a revision that the ring still holds gets each changed member once, as it is now, removals as
+// gone; from one older than the ring, the whole list.
+func TestSinceGivesChangesOrTheWholeList(t *testing.T) {
+	s := NewState(16)
+	m := func(id string) Member { return Member{ID: id, HostPort: "127.0.0.1:1", Phase: Ready, Size: 1} }
+	for _, c := range []Command{
+		{Op: "register", Member: m("a")}, {Op: "register", Member: m("b")}, {Op: "register", Member: m("c")},
+		{Op: "phase", ID: "a", Phase: Draining}, {Op: "deregister", ID: "b"},
+	} {
+		if r := s.Apply(c); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+	}
+	got := s.Since(3)
+	if got.Revision != 5 || got.Complete || len(got.Members) != 2 ||
+		got.Members[0].Phase != Draining || got.Members[1].ID != "b" || got.Members[1].Phase != Gone {
+		t.Fatalf("since 3: %+v", got)
+	}
+	for range 20 { // push revision 1 to 5 out of the ring
+		s.Apply(Command{Op: "phase", ID: "c", Phase: Draining})
+		s.Apply(Command{Op: "phase", ID: "c", Phase: Ready})
+	}
+	if w := s.Since(3); !w.Complete || len(w.Members) != 2 {
+		t.Fatalf("since a compacted revision: %+v", w)
+	}
+	if r := s.Apply(Command{Op: "phase", ID: "zz", Phase: Ready}); r.Err != ErrUnknown || r.Revision != s.Revision {
+		t.Fatalf("unknown member: %+v", r)
+	}
+}
+
+type cluster struct {
+	replicas []*Replica
+	http     []string
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func testConfig(id, dir string) Config {
+	c := defaults()
+	c.ID, c.DataDir, c.Bootstrap = id, dir, true
+	c.Timing.Heartbeat.Duration, c.Timing.Election.Duration, c.Timing.LeaderLease.Duration = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
+	return c
+}
+
+// newCluster starts n replicas in this process on ports of 127.0.0.1 that the system picks.
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	var raftLn, httpLn []net.Listener
+	var peers []Peer
+	for i := range n {
+		rl, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		hl, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		raftLn, httpLn = append(raftLn, rl), append(httpLn, hl)
+		peers = append(peers, Peer{ID: fmt.Sprintf("r%d", i), Raft: rl.Addr().String(), HTTP: hl.Addr().String()})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{cancel: cancel, done: make(chan struct{})}
+	served := make(chan struct{}, n)
+	for i := range n {
+		cfg := testConfig(peers[i].ID, t.TempDir())
+		cfg.Raft, cfg.HTTP, cfg.Peers = peers[i].Raft, peers[i].HTTP, peers
+		r, err := Open(cfg, raftLn[i], slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.replicas, c.http = append(c.replicas, r), append(c.http, peers[i].HTTP)
+		go func() { r.Serve(ctx, httpLn[i]); served <- struct{}{} }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range n {
+			<-served
+		}
+		for _, r := range c.replicas {
+			if r != nil {
+				r.Close()
+			}
+		}
+	})
+	return c
+}
+
+// leader waits for a leader among the replicas still open.
+func (c *cluster) leader(t *testing.T) int {
+	t.Helper()
+	for range 200 {
+		for i, r := range c.replicas {
+			if r != nil && r.Leader() {
+				return i
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("no leader")
+	return -1
+}
+
+func call(t *testing.T, method, url, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// Writes sent to a follower are forwarded and acknowledged once applied; every acknowledged write is there after
+// the leader is stopped, the revision goes on from where it was, and bad input changes nothing.
+func TestAcknowledgedWritesSurviveTheLeader(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(t)
+	follower := c.http[(lead+1)%3]
+	for i := range 20 {
+		body := fmt.Sprintf(`{"member":{"id":"s-%d","host_port":"127.0.0.1:%d","size":1}}`, i, 9000+i)
+		if code, text := call(t, "POST", "http://"+follower+"/registry/members", body); code != 200 {
+			t.Fatalf("write %d: %d %s", i, code, text)
+		}
+	}
+	for _, bad := range []string{`{"member":{"host_port":"127.0.0.1:1"}}`, `{"member":{"id":"x","host_port":"nowhere"}}`,
+		`{"member":`, `{"member":{"id":"x","host_port":"127.0.0.1:1","phase":"asleep"}}`, `{"membr":{}}`} {
+		if code, text := call(t, "POST", "http://"+follower+"/registry/members", bad); code != 400 {
+			t.Fatalf("%s: %d %s", bad, code, text)
+		}
+	}
+	c.replicas[lead].Close()
+	c.replicas[lead] = nil
+	next := c.leader(t)
+	code, text := call(t, "GET", "http://"+c.http[next]+"/registry/instances", "")
+	var l List
+	if err := json.Unmarshal([]byte(text), &l); code != 200 || err != nil {
+		t.Fatalf("read: %d %s", code, text)
+	}
+	if l.Revision != 20 || len(l.Members) != 20 {
+		t.Fatalf("after the leader: revision %d, %d members", l.Revision, len(l.Members))
+	}
+	if code, text := call(t, "PUT", "http://"+c.http[next]+"/registry/members/s-3/phase", `{"phase":"draining"}`); code != 200 ||
+		!strings.Contains(text, `"revision":21`) {
+		t.Fatalf("phase: %d %s", code, text)
+	}
+}
--- /dev/null
+++ b/internal/registry/replica.go
@@ -0,0 +1,322 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+)
+
+// Errors of writes.
+var (
+	ErrNotLeader = errors.New("not the leader")
+)
+
+// applyWithin bounds how long a write waits to be committed and applied.
+const applyWithin = 5 * time.Second
+
+// fsm is the raft state machine over State: it applies committed commands and tells waiting watches.
+type fsm struct {
+	mu     sync.RWMutex
+	st     *State
+	notify chan struct{} // closed and replaced at each change
+}
+
+func (f *fsm) Apply(l *raft.Log) any {
+	if l.Type != raft.LogCommand {
+		return nil
+	}
+	var c Command
+	if err := json.Unmarshal(l.Data, &c); err != nil {
+		// Written by a replica of ours, so never expected; refused the same on every replica.
+		return Result{Err: fmt.Errorf("log entry %d: %w", l.Index, err)}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.st.Apply(c)
+	f.broadcast()
+	return r
+}
+
+func (f *fsm) broadcast() {
+	close(f.notify)
+	f.notify = make(chan struct{})
+}
+
+func (f *fsm) Snapshot() (raft.FSMSnapshot, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	text, err := f.st.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return snapshot(text), nil
+}
+
+func (f *fsm) Restore(rc io.ReadCloser) error {
+	defer rc.Close()
+	text, err := io.ReadAll(rc)
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.st.Decode(text); err != nil {
+		return err
+	}
+	f.broadcast()
+	return nil
+}
+
+// read runs fn on the state under the read lock, and gives the channel that the next change closes.
+func (f *fsm) read(fn func(*State)) <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	fn(f.st)
+	return f.notify
+}
+
+// streamLayer is raft's TCP stream layer over a listener that the caller opened (so a test may use port 0).
+type streamLayer struct{ net.Listener }
+
+func (s streamLayer) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", string(addr), timeout)
+}
+
+type snapshot []byte
+
+func (s snapshot) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(s); err != nil {
+		sink.Cancel()
+		return err
+	}
+	return sink.Close()
+}
+
+func (snapshot) Release() {}
+
+// Replica is one member of the registry's raft cluster with its state machine and TTL keeper.
+type Replica struct {
+	cfg   Config
+	log   *slog.Logger
+	raft  *raft.Raft
+	fsm   *fsm
+	store *raftboltdb.BoltStore
+	trans *raft.NetworkTransport
+
+	beatMu sync.Mutex
+	beats  map[string]time.Time // last heartbeat by member, on this replica's monotonic clock, while it leads
+
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+}
+
+// Open starts a replica from its folder: the raft log and stable store (raft.db, bbolt), and snapshots. A new
+// folder with bootstrap set starts the cluster of the configured peers. Raft's transport takes over ln, which
+// listens at cfg.Raft.
+func Open(cfg Config, ln net.Listener, log *slog.Logger) (*Replica, error) {
+	if err := os.MkdirAll(cfg.DataDir, 0o755); err != nil {
+		return nil, fmt.Errorf("data_dir: %w", err)
+	}
+	store, err := raftboltdb.NewBoltStore(filepath.Join(cfg.DataDir, "raft.db"))
+	if err != nil {
+		return nil, fmt.Errorf("raft store: %w", err)
+	}
+	r := &Replica{cfg: cfg, log: log.With("component", "registry", "node", cfg.ID), store: store,
+		fsm: &fsm{st: NewState(cfg.Ring), notify: make(chan struct{})}, beats: map[string]time.Time{}}
+	if err := r.start(ln); err != nil {
+		store.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Replica) start(ln net.Listener) error {
+	hl := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, JSONFormat: true, Output: os.Stderr})
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(r.cfg.DataDir, 3, hl)
+	if err != nil {
+		return fmt.Errorf("snapshots: %w", err)
+	}
+	r.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: streamLayer{ln}, MaxPool: 3,
+		Timeout: 5 * time.Second, Logger: hl})
+	rc := raft.DefaultConfig()
+	t := r.cfg.Timing
+	rc.LocalID, rc.Logger = raft.ServerID(r.cfg.ID), hl
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = t.Heartbeat.Duration, t.Election.Duration, t.LeaderLease.Duration
+	rc.CommitTimeout, rc.SnapshotInterval = t.Commit.Duration, t.SnapshotInterval.Duration
+	rc.SnapshotThreshold, rc.TrailingLogs = t.SnapshotThreshold, t.TrailingLogs
+	if r.raft, err = raft.NewRaft(rc, r.fsm, r.store, r.store, snaps, r.trans); err != nil {
+		r.trans.Close()
+		return fmt.Errorf("raft: %w", err)
+	}
+	if r.cfg.Bootstrap {
+		if err := r.bootstrap(); err != nil {
+			r.raft.Shutdown().Error()
+			r.trans.Close()
+			return err
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	r.wg.Go(func() { r.keepTTLs(ctx) })
+	return nil
+}
+
+// bootstrap starts the cluster where this folder has no state yet (raft refuses it otherwise, which is no error).
+// Every replica may do it with the same peers.
+func (r *Replica) bootstrap() error {
+	var servers []raft.Server
+	for _, p := range r.cfg.Peers {
+		servers = append(servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+	}
+	if len(servers) == 0 {
+		servers = []raft.Server{{ID: raft.ServerID(r.cfg.ID), Address: raft.ServerAddress(r.cfg.Raft)}}
+	}
+	if err := r.raft.BootstrapCluster(raft.Configuration{Servers: servers}).Error(); err != nil &&
+		!errors.Is(err, raft.ErrCantBootstrap) {
+		return fmt.Errorf("bootstrap: %w", err)
+	}
+	return nil
+}
+
+// Close stops the replica: its TTL keeper, raft, the transport and the store.
+func (r *Replica) Close() error {
+	r.stop()
+	r.wg.Wait()
+	err := r.raft.Shutdown().Error()
+	r.trans.Close()
+	return errors.Join(err, r.store.Close())
+}
+
+// Leader tells whether this replica leads now.
+func (r *Replica) Leader() bool { return r.raft.State() == raft.Leader }
+
+// leaderHTTP is the HTTP address of the replica that leads, as the configuration names it; "" where unknown.
+func (r *Replica) leaderHTTP() string {
+	_, id := r.raft.LeaderWithID()
+	for _, p := range r.cfg.Peers {
+		if raft.ServerID(p.ID) == id {
+			return p.HTTP
+		}
+	}
+	return ""
+}
+
+// fresh tells whether this replica may serve reads: it leads, or heard from the leader within StaleRead.
+func (r *Replica) fresh() bool {
+	if r.Leader() {
+		return true
+	}
+	last := r.raft.LastContact()
+	return !last.IsZero() && time.Since(last) <= r.cfg.StaleRead.Duration
+}
+
+// Write commits one command through raft and gives its result once applied here. It fails with ErrNotLeader on
+// a follower; an error from raft means the write may or may not be committed later, as with any lost answer.
+func (r *Replica) Write(c Command) (Result, error) {
+	if !r.Leader() {
+		return Result{}, ErrNotLeader
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return Result{}, err
+	}
+	f := r.raft.Apply(text, applyWithin)
+	if err := f.Error(); err != nil {
+		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) {
+			return Result{}, fmt.Errorf("%w: %v", ErrNotLeader, err)
+		}
+		return Result{}, err
+	}
+	res, _ := f.Response().(Result)
+	if res.Err == nil && c.Op == "register" {
+		r.beat(c.Member.ID)
+	}
+	return res, nil
+}
+
+// Heartbeat keeps a member's TTL; only the leader keeps them.
+func (r *Replica) Heartbeat(id string) error {
+	if !r.Leader() {
+		return ErrNotLeader
+	}
+	known := false
+	r.fsm.read(func(s *State) { _, known = s.Members[id] })
+	if !known {
+		return ErrUnknown
+	}
+	r.beat(id)
+	return nil
+}
+
+func (r *Replica) beat(id string) {
+	r.beatMu.Lock()
+	r.beats[id] = time.Now()
+	r.beatMu.Unlock()
+}
+
+// keepTTLs expires members whose heartbeats stopped, while this replica leads. On becoming leader it starts every
+// TTL afresh at full length: the old leader's heartbeats are not known here, and a member must not go early.
+func (r *Replica) keepTTLs(ctx context.Context) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	leading := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-r.raft.LeaderCh():
+			leading = l
+			r.beatMu.Lock()
+			r.beats = map[string]time.Time{}
+			r.beatMu.Unlock()
+			if l {
+				r.log.Info("leading", "term", r.raft.Stats()["term"])
+			}
+		case <-tick.C:
+			if leading {
+				r.expire()
+			}
+		}
+	}
+}
+
+func (r *Replica) expire() {
+	now := time.Now()
+	var due []Command
+	r.fsm.read(func(s *State) {
+		r.beatMu.Lock()
+		defer r.beatMu.Unlock()
+		for id, e := range s.Members {
+			ttl := time.Duration(e.TTLms) * time.Millisecond
+			if ttl <= 0 {
+				continue
+			}
+			last, ok := r.beats[id]
+			if !ok {
+				r.beats[id] = now // new to this leader: a full TTL from now
+				continue
+			}
+			if now.Sub(last) > ttl {
+				due = append(due, Command{Op: "expire", ID: id, Seen: e.Changed})
+			}
+		}
+	})
+	for _, c := range due {
+		res, err := r.Write(c)
+		if err == nil && res.Err == nil {
+			r.log.Info("member expired", "member", c.ID, "revision", res.Revision)
+		}
+	}
+}
