Let the node fail over between registry replicas without going back in revision

Change: an optional registry key in the node's JSON lists the replicas. After a failed call the discovery client moves to the next one on the back-off it already had, keeps watching from the revision it holds, and refuses (as a failed call) a list older than that. Without the key nothing changes: the single discovery address is followed as before.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,6 +17,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Registry   []string // every replica of a replicated discovery; empty: Discovery alone, as the platform has it
 	Admin      string // the second address; "": none
 	StateDir   string // where processes of the node leave what the others need; with an admin
 	Seed       uint64
@@ -57,6 +58,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Registry   []string        `json:"registry"`
 		Admin      string          `json:"admin"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
@@ -69,7 +71,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Admin: raw.Admin, StateDir: os.TempDir(), Limits: raw.Limits,
+	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Registry: raw.Registry, Admin: raw.Admin, StateDir: os.TempDir(), Limits: raw.Limits,
 		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
 	var err error
 	if raw.Seed != "" {
@@ -115,9 +117,14 @@
 			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.addr)
 		}
 	}
-	for _, p := range c.Peers {
-		if _, err := netip.ParseAddrPort(p); err != nil {
-			return fmt.Errorf("peers: %q is not an address with a port", p)
+	for _, list := range []struct {
+		name  string
+		addrs []string
+	}{{"peers", c.Peers}, {"registry", c.Registry}} {
+		for _, a := range list.addrs {
+			if _, err := netip.ParseAddrPort(a); err != nil {
+				return fmt.Errorf("%s: %q is not an address with a port", list.name, a)
+			}
 		}
 	}
 	if c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -129,6 +129,10 @@
 	after   int64
 	patient time.Duration // for a whole list
 
+	// replicas are the addresses of a replicated registry, in the order they are tried; nil: one discovery. Its
+	// replicas number their lists alike, so a watch goes on from one to the next and an older list is refused.
+	replicas []string
+
 	mu    sync.Mutex
 	addr  string
 	url   string
@@ -139,9 +143,9 @@
 	asked chan balance.ActionKind
 }
 
-func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
+func newDiscovery(addr string, replicas []string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
 	d := &discovery{
-		addr: addr, url: registryURL(addr), moved: make(chan struct{}), names: names, log: log, wait: watchWait, news: news, lost: lost,
+		addr: addr, replicas: replicas, url: registryURL(addr), moved: make(chan struct{}), names: names, log: log, wait: watchWait, news: news, lost: lost,
 		patient: wholeWithin,
 		http: &http.Client{
 			Transport: &http.Transport{
@@ -175,6 +179,17 @@
 	}
 }
 
+// nextReplica moves to the replica after the one asked, where there are replicas.
+func (d *discovery) nextReplica() {
+	if len(d.replicas) < 2 {
+		return
+	}
+	d.mu.Lock()
+	next := d.replicas[(slices.Index(d.replicas, d.addr)+1)%len(d.replicas)]
+	d.mu.Unlock()
+	d.move(next)
+}
+
 // where tells at which URL discovery is now, and what is closed when it moves.
 func (d *discovery) where() (url string, moved <-chan struct{}) {
 	d.mu.Lock()
@@ -214,6 +229,7 @@
 		}
 		complain.warn("discovery failed", "error", err)
 		d.lost()
+		d.nextReplica()
 		if d.asked != nil {
 			continue // the module says when to call again
 		}
@@ -250,6 +266,9 @@
 			return heard, err
 		}
 		d.http.CloseIdleConnections()
+		if d.replicas != nil {
+			continue // another replica of the same registry: the watch goes on
+		}
 		d.have = false // it may number its lists in another way there
 		d.log.Info("discovery moved: reading the whole list there")
 	}
@@ -273,6 +292,9 @@
 		if query == "" && !list.Complete {
 			return heard, errors.New("the whole list was asked for, and changes came")
 		}
+		if d.replicas != nil && d.have && list.Revision < d.after {
+			return heard, fmt.Errorf("revision %d from a replica behind the %d held", list.Revision, d.after)
+		}
 		answered := time.Now()
 		heard = true
 		d.news(list)
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	lists, lost := make(chan List, 64), new(atomic.Int64)
-	d := newDiscovery(addr, names, quiet(), func(l List) { lists <- l }, func() { lost.Add(1) })
+	d := newDiscovery(addr, nil, names, quiet(), func(l List) { lists <- l }, func() { lost.Add(1) })
 	if change != nil {
 		change(d)
 	}
@@ -282,3 +282,32 @@
 		t.Errorf("%d calls were given up", lost.Load())
 	}
 }
+
+// With replicas, a failed call moves to the next one and the watch goes on from the revision held; a lagging
+// replica's older list is refused, never taken.
+func TestReplicaFailoverNeverGoesBack(t *testing.T) {
+	first := newRegistry(t, listText(41, true, listed{"s", "127.0.0.1:1", "ready", 0}))
+	lagging := newRegistry(t, listText(30, true))
+	lagging.next <- listText(30, false)
+	lagging.next <- listText(44, false, listed{"s", "127.0.0.1:1", "draining", 0})
+	lists, lost := followed(t, first.addr, func(d *discovery) { d.replicas = []string{first.addr, lagging.addr} })
+	if l := receive(t, "the whole list", lists); l.Revision != 41 {
+		t.Fatalf("%+v", l)
+	}
+	first.Server.Close()
+	l := awaitList(t, "the change at the other replica", lists, func(l List) bool {
+		if l.Revision < 41 {
+			t.Fatalf("went back to %d", l.Revision)
+		}
+		return len(l.Members) > 0
+	})
+	if l.Revision != 44 || l.Members[0].Phase != balance.Draining {
+		t.Fatalf("%+v", l)
+	}
+	if lost.Load() < 2 {
+		t.Fatalf("%d failed calls: the first replica's end and the lagging answer", lost.Load())
+	}
+	if asked := lagging.asked(); len(asked) == 0 || !strings.HasPrefix(asked[0], "after=41&") {
+		t.Fatalf("the other replica was asked %q", asked)
+	}
+}
