--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -18,8 +18,8 @@
 	Listen     string
 	Discovery  string
 	Registry   []string // every replica of a replicated discovery; empty: Discovery alone, as the platform has it
-	Admin      string // the second address; "": none
-	StateDir   string // where processes of the node leave what the others need; with an admin
+	Admin      string   // the second address; "": none
+	StateDir   string   // where processes of the node leave what the others need; with an admin
 	Seed       uint64
 	Limits     Limits
 	PeerListen string
