Measure the registry: writes a second on three replicas, watch fan-out to 300

Change: two benchmarks over an in-process cluster of three replicas on loopback TCP; the replica counts the watches that wait, so that the fan-out is timed from a write's acknowledgement with all 300 open. Raft's own log lines now go through the replica's logger instead of straight to standard error.

--- /dev/null
+++ b/internal/registry/bench_test.go
@@ -0,0 +1,99 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Writes a second that three replicas on loopback commit and apply, 64 writers at once.
+func BenchmarkWritesThreeReplicas(b *testing.B) {
+	c := newCluster(b, 3)
+	r := c.replicas[c.leader(b)]
+	b.SetParallelism(8)
+	var n sync.Mutex
+	i := 0
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			n.Lock()
+			i++
+			id := fmt.Sprintf("s-%d", i%5000)
+			n.Unlock()
+			m := Member{ID: id, HostPort: "127.0.0.1:9000", Phase: Ready, Size: 1}
+			if res, err := r.Write(Command{Op: "register", Member: m}); err != nil || res.Err != nil {
+				b.Error(err, res.Err)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "writes/s")
+}
+
+// The time from a write's acknowledgement until each of 300 watches on the leader has its answer (p50, p99), and
+// the memory each open watch holds.
+func BenchmarkWatchFanOut300(b *testing.B) {
+	const watchers = 300
+	c := newCluster(b, 3)
+	lead := c.leader(b)
+	r, addr := c.replicas[lead], c.http[lead]
+	tr := &http.Transport{MaxIdleConnsPerHost: watchers, MaxConnsPerHost: watchers}
+	defer tr.CloseIdleConnections()
+	client := &http.Client{Transport: tr}
+	var lat []float64
+	var perWatch float64
+	for i := 0; i < b.N; i++ {
+		rev := r.Status().Revision
+		var ms0, ms1 runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&ms0)
+		arrived := make(chan time.Time, watchers)
+		var wg sync.WaitGroup
+		for range watchers {
+			wg.Go(func() {
+				resp, err := client.Get(fmt.Sprintf("http://%s/registry/instances?after=%d&wait_ms=20000", addr, rev))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				arrived <- time.Now()
+			})
+		}
+		waitWatches(b, r, watchers)
+		runtime.ReadMemStats(&ms1)
+		perWatch = float64(ms1.HeapInuse+ms1.StackInuse-ms0.HeapInuse-ms0.StackInuse) / watchers
+		if _, err := r.Write(Command{Op: "register", Member: Member{ID: fmt.Sprintf("w-%d", i), HostPort: "127.0.0.1:1", Phase: Ready}}); err != nil {
+			b.Fatal(err)
+		}
+		acked := time.Now()
+		wg.Wait()
+		close(arrived)
+		for t := range arrived {
+			lat = append(lat, float64(t.Sub(acked).Microseconds())/1000)
+		}
+	}
+	slices.Sort(lat)
+	b.ReportMetric(lat[len(lat)/2], "p50-ms")
+	b.ReportMetric(lat[len(lat)*99/100], "p99-ms")
+	b.ReportMetric(perWatch, "B/watch")
+}
+
+// waitWatches waits until n watches wait on the state's change channel (counted by the replica).
+func waitWatches(b *testing.B, r *Replica, n int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for r.watching.Load() < n {
+		if ctx.Err() != nil {
+			b.Fatalf("%d of %d watches open", r.watching.Load(), n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -120,6 +120,8 @@
 func (r *Replica) watch(ctx context.Context, after int64, wait time.Duration) (List, bool) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
+	r.watching.Add(1)
+	defer r.watching.Add(-1)
 	for {
 		var l List
 		var rev int64
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -58,7 +58,7 @@
 }
 
 // newCluster starts n replicas in this process on ports of 127.0.0.1 that the system picks.
-func newCluster(t *testing.T, n int) *cluster {
+func newCluster(t testing.TB, n int) *cluster {
 	t.Helper()
 	var raftLn, httpLn []net.Listener
 	var peers []Peer
@@ -102,7 +102,7 @@
 }
 
 // leader waits for a leader among the replicas still open.
-func (c *cluster) leader(t *testing.T) int {
+func (c *cluster) leader(t testing.TB) int {
 	t.Helper()
 	for range 200 {
 		for i, r := range c.replicas {
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -94,6 +96,14 @@
 	return net.DialTimeout("tcp", string(addr), timeout)
 }
 
+// raftLog passes raft's own lines (hclog, JSON) into the replica's logger, one record a line.
+type raftLog struct{ log *slog.Logger }
+
+func (w raftLog) Write(p []byte) (int, error) {
+	w.log.Warn("raft", "line", json.RawMessage(bytes.TrimSpace(p)))
+	return len(p), nil
+}
+
 type snapshot []byte
 
 func (s snapshot) Persist(sink raft.SnapshotSink) error {
@@ -115,6 +125,8 @@
 	store *raftboltdb.BoltStore
 	trans *raft.NetworkTransport
 
+	watching atomic.Int64 // watches waiting now
+
 	beatMu sync.Mutex
 	beats  map[string]time.Time // last heartbeat by member, on this replica's monotonic clock, while it leads
 
@@ -143,7 +155,7 @@
 }
 
 func (r *Replica) start(ln net.Listener) error {
-	hl := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, JSONFormat: true, Output: os.Stderr})
+	hl := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, JSONFormat: true, Output: raftLog{r.log}})
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(r.cfg.DataDir, 3, hl)
 	if err != nil {
 		return fmt.Errorf("snapshots: %w", err)
