Keep a new registry leader from reading before it applied the old leader's writes

Symptom: under -race -count=20 the leader-loss test failed once: the new leader served revision 19 with 19 members after 20 writes had been acknowledged, so a client could see the list go back.

Cause: a raft leader learns that entries of earlier terms are committed only once an entry of its own term commits; until then its state machine may lack acknowledged writes. fresh() let any leader read at once. Ruled out: a lost write (the entry was acknowledged after commit, and the replica held it once applied) and the forward path (all writes went through the old leader).

Change: on gaining leadership a replica runs a raft barrier and records the term; as leader it reads only in that term, and answers 503 before.

--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -126,6 +126,9 @@
 	trans *raft.NetworkTransport
 
 	watching atomic.Int64 // watches waiting now
+	// readyTerm is the term in which this replica, as leader, applied everything committed before it led (a
+	// barrier): until then a new leader's state may lack acknowledged writes of the old one, and it must not read.
+	readyTerm atomic.Uint64
 
 	beatMu sync.Mutex
 	beats  map[string]time.Time // last heartbeat by member, on this replica's monotonic clock, while it leads
@@ -225,10 +228,11 @@
 	return ""
 }
 
-// fresh tells whether this replica may serve reads: it leads, or heard from the leader within StaleRead.
+// fresh tells whether this replica may serve reads: it leads and has applied all that was committed before, or
+// it heard from the leader within StaleRead.
 func (r *Replica) fresh() bool {
 	if r.Leader() {
-		return true
+		return r.readyTerm.Load() == r.raft.CurrentTerm()
 	}
 	last := r.raft.LastContact()
 	return !last.IsZero() && time.Since(last) <= r.cfg.StaleRead.Duration
@@ -294,7 +298,7 @@
 			r.beats = map[string]time.Time{}
 			r.beatMu.Unlock()
 			if l {
-				r.log.Info("leading", "term", r.raft.Stats()["term"])
+				r.lead()
 			}
 		case <-tick.C:
 			if leading {
@@ -304,6 +308,17 @@
 	}
 }
 
+// lead makes a new leader ready to read: a barrier has it apply every entry committed before its term.
+func (r *Replica) lead() {
+	term := r.raft.CurrentTerm()
+	if err := r.raft.Barrier(applyWithin).Error(); err != nil {
+		r.log.Warn("leading, not ready to read", "term", term, "error", err)
+		return
+	}
+	r.readyTerm.Store(term)
+	r.log.Info("leading", "term", term)
+}
+
 func (r *Replica) expire() {
 	now := time.Now()
 	var due []Command
