Serve the node's figures as Prometheus metrics on its second address

A collector reads the existing figures at each scrape, so /admin/stats keeps its form and names; attempts gain a counter by status beside the loop's five-second counts; each call of discovery is timed into glencart_discovery_call_seconds by result; the list's revision is a gauge, from known at the start. Without admin nothing is served, as before.

Measured: a test scrapes /metrics after two requests: completed and rejected by class, delivered and app_error attempts, members 1 usable 1, revision 7, a timed discovery call.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -37,6 +37,8 @@
 	Figures(w io.Writer)
 	// Cordon leaves a backend out, or puts it back. It returns once that holds.
 	Cordon(ctx context.Context, id string, out bool) error
+	// Metrics serves the figures in Prometheus's text form.
+	Metrics() http.Handler
 }
 
 // Server is the second address.
@@ -90,6 +92,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		n.Figures(w)
 	})
+	mux.Handle("GET /metrics", n.Metrics())
 	change := func(out bool) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), changeWithin)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -23,6 +23,8 @@
 
 func (f *fakeNode) Figures(w io.Writer) { fmt.Fprintln(w, "edge_balancer.pending=14") }
 
+func (f *fakeNode) Metrics() http.Handler { return http.NotFoundHandler() }
+
 func (f *fakeNode) Cordon(_ context.Context, id string, out bool) error {
 	switch id {
 	case "s-known":
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -118,10 +118,11 @@
 	names settings.Settings
 	http  *http.Client
 	log   *slog.Logger
-	wait  time.Duration // of a watch
-	news  func(List)    // takes in a list
-	lost  func()        // a call failed
-	calls atomic.Int64  // since the loop last counted them
+	wait  time.Duration              // of a watch
+	news  func(List)                 // takes in a list
+	lost  func()                     // a call failed
+	timed func(time.Duration, error) // takes in each call's time and error; may be nil
+	calls atomic.Int64               // since the loop last counted them
 
 	// What is known, for run alone: a watch goes on from revision after. Else the whole list has to be read, which
 	// costs discovery work for each line.
@@ -319,7 +320,7 @@
 	}
 }
 
-func (d *discovery) call(ctx context.Context, url string, within time.Duration) (List, error) {
+func (d *discovery) call(ctx context.Context, url string, within time.Duration) (list List, err error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -327,6 +328,10 @@
 		return List{}, err
 	}
 	d.calls.Add(1)
+	if d.timed != nil {
+		begun := time.Now()
+		defer func() { d.timed(time.Since(begun), err) }()
+	}
 	resp, err := d.http.Do(req)
 	if err != nil {
 		return List{}, err
@@ -341,8 +346,7 @@
 	case len(text) > listMost:
 		return List{}, fmt.Errorf("%w: too long", errMalformed)
 	}
-	list, err := parseList(text, d.names)
-	if err != nil {
+	if list, err = parseList(text, d.names); err != nil {
 		return List{}, fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	return list, nil
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"glencart/balance"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,7 @@
 	pending  atomic.Int64
 	members  atomic.Int64
 	avoided  atomic.Int64
+	attempts [balance.Unused + 1]atomic.Int64 // by status
 }
 
 // ends are the ways in which requests of a class end. Each request ends in one of them.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -312,6 +312,7 @@
 	at.over = true
 	r.pending--
 	l.counts.outcomes[res.status]++
+	l.figures.attempts[res.status].Add(1)
 	if res.status == balance.Delivered && !r.answered {
 		r.answered = true
 		l.counts.answers[served]++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	front    *front
 	disco    *discovery
 	figures  *figures
+	metrics  *metrics
 	clients  int           // connections of clients, over all processes of the node
 	backends int           // and to backends
 	admin    *admin.Server // nil: none is told
@@ -53,6 +54,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, log: log, figures: newFigures(cfg.Settings.Classes)}
+	n.metrics = newMetrics(n.figures)
 	limits := cfg.Settings.Config.Limits
 	if cfg.Admin != "" {
 		n.handing = newHanding(cfg, log)
@@ -76,10 +78,13 @@
 			if list.Complete {
 				kind = balance.MembersAll
 			}
+			n.metrics.revision.Set(float64(list.Revision))
 			n.loop.post(func() { n.loop.list(kind, list) })
 		},
 		func() { n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.MembersRefused}) }) })
 	n.disco.have, n.disco.after = len(n.cfg.Known.Members) > 0, n.cfg.Known.Revision
+	n.disco.timed = n.metrics.called
+	n.metrics.revision.Set(float64(n.cfg.Known.Revision))
 	n.loop.askAbout = n.disco.ask
 	n.loop.askedOf = func() int64 { return n.disco.calls.Swap(0) }
 	if cfg.PeerListen != "" {
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -1,6 +1,9 @@
 package node
 
-import "io"
+import (
+	"io"
+	"net/http"
+)
 
 // told is the node as its second address sees it.
 type told struct{ n *Node }
@@ -11,3 +14,5 @@
 }
 
 func (t told) Figures(w io.Writer) { t.n.figures.write(w) }
+
+func (t told) Metrics() http.Handler { return t.n.metrics.handler() }
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -117,3 +117,36 @@
 		t.Errorf("answered %d", resp.StatusCode)
 	}
 }
+
+// /metrics tells the same ends as the figures, attempts by status, the list's revision and the calls of
+// discovery, in Prometheus's text form.
+func TestMetricsFollowTheFigures(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/error" {
+			return "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+		}
+		return ok200("fine")
+	}))
+	n := startAdmin(t, listText(7, true, listed{id: "s-a", addr: b.Addr().String(), phase: "ready"}))
+	do(t, ask(t, n.url+"/fine", "order"))
+	do(t, ask(t, n.url+"/error", "read"))
+	var body string
+	eventually(t, "a call of discovery and nothing pending", func() bool {
+		var resp *http.Response
+		resp, body = do(t, adminCall(t, n, "GET", "/metrics"))
+		return resp.StatusCode == http.StatusOK && strings.Contains(body, "glencart_pending_requests 0") &&
+			strings.Contains(body, `glencart_discovery_call_seconds_count{result="ok"}`)
+	})
+	for _, want := range []string{
+		`glencart_requests_total{class="order",outcome="completed"} 1`,
+		`glencart_requests_total{class="read",outcome="rejected"} 1`,
+		`glencart_attempts_total{status="delivered"} 1`,
+		`glencart_attempts_total{status="app_error"} 1`,
+		`glencart_members 1`, `glencart_members_usable 1`, `glencart_list_revision 7`,
+		`glencart_discovery_call_seconds_count{result="ok"}`,
+	} {
+		if !strings.Contains(body, want) {
+			t.Errorf("no %s in\n%s", want, body)
+		}
+	}
+}
