Serve the registry's figures as Prometheus metrics

Change: each replica serves /metrics from a registry of its own: the revision it has applied, members, whether it leads and may read, watches waiting, calls shed over max_calls, and the time of each write at the leader as a histogram by result (ok, refused, failed).

Measured: after 20 writes at the old leader and one at the new, the new leader's /metrics shows revision 21, members 20, leader 1 and one ok write.

--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -42,6 +42,7 @@
 	mux.HandleFunc("DELETE /registry/members/{id}", r.writeHandler(r.deregister))
 	mux.HandleFunc("POST /registry/members/{id}/heartbeat", r.serveHeartbeat)
 	mux.HandleFunc("GET /registry/status", r.serveStatus)
+	mux.Handle("GET /metrics", r.metrics.handler())
 	calls := make(chan struct{}, r.cfg.MaxCalls)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		select {
@@ -49,6 +50,7 @@
 			defer func() { <-calls }()
 			mux.ServeHTTP(w, req)
 		default:
+			r.metrics.shed.Inc()
 			w.Header().Set("Retry-After", "1")
 			fail(w, http.StatusServiceUnavailable, errors.New("too many calls"))
 		}
@@ -158,25 +160,32 @@
 			r.forward(w, req)
 			return
 		}
+		begun := time.Now()
 		req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
 		c, err := decode(req)
 		if err != nil {
+			r.metrics.wrote(begun, "refused")
 			fail(w, http.StatusBadRequest, err)
 			return
 		}
 		res, err := r.Write(c)
+		result := "failed"
 		switch {
 		case errors.Is(err, ErrNotLeader):
 			fail(w, http.StatusServiceUnavailable, err)
 		case err != nil:
 			fail(w, http.StatusServiceUnavailable, fmt.Errorf("not committed: %w", err))
 		case errors.Is(res.Err, ErrUnknown):
+			result = "refused"
 			fail(w, http.StatusNotFound, res.Err)
 		case res.Err != nil:
+			result = "refused"
 			fail(w, http.StatusBadRequest, res.Err)
 		default:
+			result = "ok"
 			answer(w, map[string]int64{"revision": res.Revision})
 		}
+		r.metrics.wrote(begun, result)
 	}
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -191,4 +191,11 @@
 		!strings.Contains(text, `"revision":21`) {
 		t.Fatalf("phase: %d %s", code, text)
 	}
+	_, text = call(t, "GET", "http://"+c.http[next]+"/metrics", "")
+	for _, want := range []string{"hitchvale_registry_revision 21", "hitchvale_registry_members 20", "hitchvale_registry_leader 1",
+		`hitchvale_registry_write_seconds_count{result="ok"} 1`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %s in /metrics", want)
+		}
+	}
 }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -118,12 +118,13 @@
 
 // Replica is one member of the registry's raft cluster with its state machine and TTL keeper.
 type Replica struct {
-	cfg   Config
-	log   *slog.Logger
-	raft  *raft.Raft
-	fsm   *fsm
-	store *raftboltdb.BoltStore
-	trans *raft.NetworkTransport
+	cfg     Config
+	log     *slog.Logger
+	raft    *raft.Raft
+	fsm     *fsm
+	store   *raftboltdb.BoltStore
+	trans   *raft.NetworkTransport
+	metrics *metrics
 
 	watching atomic.Int64 // watches waiting now
 	// readyTerm is the term in which this replica, as leader, applied everything committed before it led (a
@@ -154,6 +155,7 @@
 	}
 	r := &Replica{cfg: cfg, log: log.With("component", "registry", "node", cfg.ID), store: store,
 		fsm: &fsm{st: NewState(cfg.Ring), notify: make(chan struct{})}, beats: map[string]time.Time{}}
+	r.metrics = newMetrics(r)
 	if err := r.start(ln); err != nil {
 		store.Close()
 		return nil, err
