Add leases with fencing tokens to the registry's state machine, with a rapid model test

Change: State gains leases (holder, TTL, token), one token counter for all grants, and for each lease the highest token a fenced write carried. acquire, release and lease-expire are commands; acquire by the holder again gives the same token; release needs holder and token, expire the token. Any write of the list may carry a fence and is refused below the highest token accepted.

--- /dev/null
+++ b/internal/registry/lease_test.go
@@ -0,0 +1,104 @@
+package registry
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// leaseModel is the plain model that the state machine must agree with.
+type leaseModel struct {
+	held   map[string]Lease
+	tokens uint64
+	fenced map[string]uint64
+}
+
+// The lease state machine against a plain model, over random acquires, releases, expiries, fenced writes and
+// snapshot restores (a replica's restart or a new leader's catch-up): the same answers, a token that rises with
+// every grant and is never issued twice, one holder a lease, and no fenced write below an accepted token.
+func TestLeaseStateMachineMatchesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(64)
+		m := leaseModel{held: map[string]Lease{}, fenced: map[string]uint64{}}
+		issued := map[uint64]bool{}
+		name := rapid.SampledFrom([]string{"release-controller", "reaper"})
+		holder := rapid.SampledFrom([]string{"p1", "p2", "p3"})
+		s.Apply(Command{Op: "register", Member: Member{ID: "m", HostPort: "127.0.0.1:1", Phase: Ready}})
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": func(t *rapid.T) {
+				n, h := name.Draw(t, "name"), holder.Draw(t, "holder")
+				r := s.Apply(Command{Op: "acquire", Lease: Lease{Name: n, Holder: h, TTLms: 1000}})
+				l, ok := m.held[n]
+				switch {
+				case ok && l.Holder != h:
+					if !errors.Is(r.Err, ErrHeld) {
+						t.Fatalf("acquire of a held lease: %+v", r)
+					}
+				case ok:
+					if r.Err != nil || r.Lease.Token != l.Token {
+						t.Fatalf("acquire again by its holder: %+v, want token %d", r, l.Token)
+					}
+				default:
+					m.tokens++
+					if r.Err != nil || r.Lease.Token != m.tokens || issued[r.Lease.Token] {
+						t.Fatalf("grant: %+v, want token %d", r, m.tokens)
+					}
+					issued[r.Lease.Token] = true
+					m.held[n] = r.Lease
+				}
+			},
+			"release or expire": func(t *rapid.T) {
+				n, h := name.Draw(t, "name"), holder.Draw(t, "holder")
+				token := rapid.Uint64Range(0, m.tokens+1).Draw(t, "token")
+				op := rapid.SampledFrom([]string{"release", "lease-expire"}).Draw(t, "op")
+				r := s.Apply(Command{Op: op, Lease: Lease{Name: n, Holder: h, Token: token}})
+				l, ok := m.held[n]
+				if ok && l.Token == token && (op == "lease-expire" || l.Holder == h) {
+					if r.Err != nil {
+						t.Fatalf("%s: %v", op, r.Err)
+					}
+					delete(m.held, n)
+				} else if !errors.Is(r.Err, ErrLost) {
+					t.Fatalf("%s of a lease not so held: %+v", op, r)
+				}
+			},
+			"fenced write": func(t *rapid.T) {
+				n := name.Draw(t, "name")
+				token := rapid.Uint64Range(0, m.tokens).Draw(t, "token")
+				r := s.Apply(Command{Op: "phase", ID: "m", Phase: Draining, Fence: &Fence{Lease: n, Token: token}})
+				if token < m.fenced[n] {
+					if !errors.Is(r.Err, ErrFenced) {
+						t.Fatalf("token %d below %d accepted: %+v", token, m.fenced[n], r)
+					}
+					return
+				}
+				if r.Err != nil {
+					t.Fatalf("fenced write with token %d: %v", token, r.Err)
+				}
+				m.fenced[n] = token
+			},
+			"restore from a snapshot": func(t *rapid.T) {
+				text, err := s.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				n := NewState(64)
+				if err := n.Decode(text); err != nil {
+					t.Fatal(err)
+				}
+				s = n
+			},
+			"": func(t *rapid.T) {
+				if len(s.Leases) != len(m.held) || s.Tokens != m.tokens {
+					t.Fatalf("state %d leases, token %d; model %d, %d", len(s.Leases), s.Tokens, len(m.held), m.tokens)
+				}
+				for n, l := range m.held {
+					if s.Leases[n] != l {
+						t.Fatalf("lease %s: %+v, model %+v", n, s.Leases[n], l)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -66,12 +66,17 @@
 	// Seen is, for expire, the revision of the member's last change that the leader saw: a member registered again
 	// since is not expired.
 	Seen int64 `json:"seen,omitempty"`
+	// Lease is the lease of acquire, release and expire (lease-expire by token).
+	Lease Lease `json:"lease,omitzero"`
+	// Fence, where set, makes a write of the list conditional on its token (see State.fence).
+	Fence *Fence `json:"fence,omitempty"`
 }
 
 // Result is what applying a command gives: the revision after it, or why nothing changed.
 type Result struct {
 	Revision int64
 	Err      error
+	Lease    Lease // of a lease command
 }
 
 // Errors of commands that change nothing.
@@ -91,8 +96,9 @@
 type State struct {
 	Revision int64            `json:"revision"`
 	Members  map[string]entry `json:"members"`
-	ring     []change         // a circular buffer of the last changes, the oldest at ring[head]; not in snapshots
-	head     int
+	leases
+	ring []change // a circular buffer of the last changes, the oldest at ring[head]; not in snapshots
+	head int
 	// floor is the revision before the oldest change the ring holds: a watch from below it gets the whole list.
 	floor int64
 }
@@ -104,20 +110,30 @@
 
 // Apply carries out one command.
 func (s *State) Apply(c Command) Result {
+	switch c.Op {
+	case "acquire", "release", "lease-expire":
+		if c.Op == "lease-expire" {
+			c.Op = "expire"
+		}
+		return s.applyLease(c)
+	}
+	if err := s.fence(c.Fence); err != nil {
+		return Result{Revision: s.Revision, Err: err}
+	}
 	switch c.Op {
 	case "register":
 		if err := c.Member.Validate(); err != nil {
-			return Result{s.Revision, err}
+			return Result{Revision: s.Revision, Err: err}
 		}
 		s.bump(c.Member)
 		s.Members[c.Member.ID] = entry{Member: c.Member, TTLms: c.TTLms, Changed: s.Revision}
 	case "phase":
 		e, ok := s.Members[c.ID]
 		if !ok {
-			return Result{s.Revision, ErrUnknown}
+			return Result{Revision: s.Revision, Err: ErrUnknown}
 		}
 		if c.Phase != Ready && c.Phase != Draining {
-			return Result{s.Revision, fmt.Errorf("phase %q is neither ready nor draining", c.Phase)}
+			return Result{Revision: s.Revision, Err: fmt.Errorf("phase %q is neither ready nor draining", c.Phase)}
 		}
 		e.Member.Phase = c.Phase
 		s.bump(e.Member)
@@ -126,16 +142,16 @@
 	case "deregister", "expire":
 		e, ok := s.Members[c.ID]
 		if !ok {
-			return Result{s.Revision, ErrUnknown}
+			return Result{Revision: s.Revision, Err: ErrUnknown}
 		}
 		if c.Op == "expire" && e.Changed != c.Seen {
-			return Result{s.Revision, ErrStale}
+			return Result{Revision: s.Revision, Err: ErrStale}
 		}
 		e.Member.Phase = Gone
 		s.bump(e.Member)
 		delete(s.Members, c.ID)
 	default:
-		return Result{s.Revision, fmt.Errorf("unknown operation %q", c.Op)}
+		return Result{Revision: s.Revision, Err: fmt.Errorf("unknown operation %q", c.Op)}
 	}
 	return Result{Revision: s.Revision}
 }
@@ -201,6 +217,6 @@
 	if n.Members == nil {
 		n.Members = map[string]entry{}
 	}
-	s.Revision, s.Members, s.ring, s.head, s.floor = n.Revision, n.Members, s.ring[:0], 0, n.Revision
+	s.Revision, s.Members, s.leases, s.ring, s.head, s.floor = n.Revision, n.Members, n.leases, s.ring[:0], 0, n.Revision
 	return nil
 }
