Serve leases over HTTP: acquire, renew on the leader's clock, release, fenced writes

Change: POST /registry/leases/{name}/acquire (holder, ttl_ms; a TTL under two election timeouts gets 400), renew (204 while held with that token, 409 once not; kept by the leader alone, beside members' heartbeats), release, and GET /registry/leases. The leader expires a lease whose renewals stopped for its TTL, and a new leader counts a full TTL from its start. Any write may carry X-Fencing-Token: LEASE:TOKEN and gets 409 below the highest accepted.

--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -43,6 +43,10 @@
 	mux.HandleFunc("POST /registry/members/{id}/heartbeat", r.serveHeartbeat)
 	mux.HandleFunc("GET /registry/status", r.serveStatus)
 	mux.Handle("GET /metrics", r.metrics.handler())
+	mux.HandleFunc("GET /registry/leases", r.serveLeases)
+	mux.HandleFunc("POST /registry/leases/{name}/acquire", r.writeHandler(r.acquire))
+	mux.HandleFunc("POST /registry/leases/{name}/release", r.writeHandler(r.release))
+	mux.HandleFunc("POST /registry/leases/{name}/renew", r.serveRenew)
 	calls := make(chan struct{}, r.cfg.MaxCalls)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		select {
@@ -163,6 +167,9 @@
 		begun := time.Now()
 		req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
 		c, err := decode(req)
+		if err == nil {
+			c.Fence, err = parseFence(req)
+		}
 		if err != nil {
 			r.metrics.wrote(begun, "refused")
 			fail(w, http.StatusBadRequest, err)
@@ -178,9 +185,15 @@
 		case errors.Is(res.Err, ErrUnknown):
 			result = "refused"
 			fail(w, http.StatusNotFound, res.Err)
+		case errors.Is(res.Err, ErrHeld), errors.Is(res.Err, ErrLost), errors.Is(res.Err, ErrFenced):
+			result = "refused"
+			fail(w, http.StatusConflict, res.Err)
 		case res.Err != nil:
 			result = "refused"
 			fail(w, http.StatusBadRequest, res.Err)
+		case c.Op == "acquire" || c.Op == "release":
+			result = "ok"
+			answer(w, map[string]any{"revision": res.Revision, "lease": res.Lease})
 		default:
 			result = "ok"
 			answer(w, map[string]int64{"revision": res.Revision})
--- /dev/null
+++ b/internal/registry/lease_http.go
@@ -0,0 +1,115 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// fenceHeader carries a write's fence as LEASE:TOKEN; the write is refused (409) below the highest token accepted.
+const fenceHeader = "X-Fencing-Token"
+
+// leaseKey keeps a lease's renewals apart from members' heartbeats in the leader's table.
+func leaseKey(name string) string { return "lease:" + name }
+
+// leastTTL is the shortest lease TTL a replica grants: two election timeouts, so that a lease outlives the time a
+// new leader takes to be elected, and the successor's wait of a full TTL means something.
+func (r *Replica) leastTTL() time.Duration { return 2 * r.cfg.Timing.Election.Duration }
+
+// parseFence reads the fence header of a write; nil where there is none.
+func parseFence(req *http.Request) (*Fence, error) {
+	v := req.Header.Get(fenceHeader)
+	if v == "" {
+		return nil, nil
+	}
+	name, token, ok := strings.Cut(v, ":")
+	t, err := strconv.ParseUint(token, 10, 64)
+	if !ok || name == "" || err != nil {
+		return nil, fmt.Errorf("%s: %q is not LEASE:TOKEN", fenceHeader, v)
+	}
+	return &Fence{Lease: name, Token: t}, nil
+}
+
+func (r *Replica) acquire(req *http.Request) (Command, error) {
+	var b struct {
+		Holder string `json:"holder"`
+		TTLms  int64  `json:"ttl_ms"`
+	}
+	if err := decodeBody(req, &b); err != nil {
+		return Command{}, err
+	}
+	if b.Holder == "" {
+		return Command{}, errors.New("holder: missing")
+	}
+	if ttl := time.Duration(b.TTLms) * time.Millisecond; ttl < r.leastTTL() {
+		return Command{}, fmt.Errorf("ttl_ms: %d is shorter than two election timeouts (%s)", b.TTLms, r.leastTTL())
+	}
+	return Command{Op: "acquire", Lease: Lease{Name: req.PathValue("name"), Holder: b.Holder, TTLms: b.TTLms}}, nil
+}
+
+func (r *Replica) release(req *http.Request) (Command, error) {
+	var b struct {
+		Holder string `json:"holder"`
+		Token  uint64 `json:"token"`
+	}
+	if err := decodeBody(req, &b); err != nil {
+		return Command{}, err
+	}
+	return Command{Op: "release", Lease: Lease{Name: req.PathValue("name"), Holder: b.Holder, Token: b.Token}}, nil
+}
+
+// serveRenew keeps a lease on the leader's clock: 204 while the holder has it with that token, 409 once not.
+func (r *Replica) serveRenew(w http.ResponseWriter, req *http.Request) {
+	if !r.Leader() {
+		r.forward(w, req)
+		return
+	}
+	var b struct {
+		Holder string `json:"holder"`
+		Token  uint64 `json:"token"`
+	}
+	req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
+	if err := decodeBody(req, &b); err != nil {
+		fail(w, http.StatusBadRequest, err)
+		return
+	}
+	name := req.PathValue("name")
+	var l Lease
+	var held bool
+	r.fsm.read(func(s *State) { l, held = s.Leases[name] })
+	if !held || l.Holder != b.Holder || l.Token != b.Token {
+		fail(w, http.StatusConflict, ErrLost)
+		return
+	}
+	r.beat(leaseKey(name))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Replica) serveLeases(w http.ResponseWriter, _ *http.Request) {
+	var out []Lease
+	r.fsm.read(func(s *State) {
+		for _, l := range s.Leases {
+			out = append(out, l)
+		}
+	})
+	answer(w, map[string]any{"leases": out})
+}
+
+// dueLeases gives the expiry commands of leases whose renewals stopped for their TTL; called with beatMu held.
+func (r *Replica) dueLeases(s *State, now time.Time) []Command {
+	var due []Command
+	for name, l := range s.Leases {
+		last, ok := r.beats[leaseKey(name)]
+		if !ok {
+			r.beats[leaseKey(name)] = now // new to this leader: a full TTL from now
+			continue
+		}
+		if now.Sub(last) > time.Duration(l.TTLms)*time.Millisecond {
+			due = append(due, Command{Op: "lease-expire", Lease: Lease{Name: name, Token: l.Token}})
+		}
+	}
+	return due
+}
--- a/internal/registry/lease_test.go
+++ b/internal/registry/lease_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -102,3 +105,69 @@
 		})
 	})
 }
+
+// Over HTTP: one holder at a time, renewals on the leader's clock, expiry after the TTL, a rising token, fenced
+// writes refused below the newest token, release for an immediate handover, and a new leader that waits a full
+// TTL before granting a lease the old one had granted.
+func TestLeaseHandsOverAndFences(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(t)
+	url := func(i int, path string) string { return "http://" + c.http[i] + path }
+	acquire := func(i int, holder string) (int, string) {
+		return call(t, "POST", url(i, "/registry/leases/duty/acquire"), `{"holder":"`+holder+`","ttl_ms":300}`)
+	}
+	if code, text := call(t, "POST", url(lead, "/registry/leases/duty/acquire"), `{"holder":"p1","ttl_ms":50}`); code != 400 {
+		t.Fatalf("a TTL shorter than two elections: %d %s", code, text)
+	}
+	if code, text := acquire(lead, "p1"); code != 200 || !strings.Contains(text, `"token":1`) {
+		t.Fatalf("first grant: %d %s", code, text)
+	}
+	if code, _ := acquire((lead+1)%3, "p2"); code != 409 {
+		t.Fatalf("a held lease granted again: %d", code)
+	}
+	// p1 stops renewing; p2 gets it once the TTL has passed, with a higher token.
+	begun := time.Now()
+	code, text := 0, ""
+	for code != 200 && time.Since(begun) < 5*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		code, text = acquire(lead, "p2")
+	}
+	if waited := time.Since(begun); code != 200 || !strings.Contains(text, `"token":2`) || waited < 300*time.Millisecond {
+		t.Fatalf("after the TTL: %d %s after %s", code, text, waited)
+	}
+	fenced := func(token string) int {
+		req, _ := http.NewRequest("POST", url(lead, "/registry/members"), strings.NewReader(`{"member":{"id":"s","host_port":"127.0.0.1:1"}}`))
+		req.Header.Set(fenceHeader, token)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if got := fenced("duty:2"); got != 200 {
+		t.Fatalf("the holder's fenced write: %d", got)
+	}
+	if got := fenced("duty:1"); got != 409 {
+		t.Fatalf("the old holder's write after the new one's: %d", got)
+	}
+	// Release hands over at once.
+	if code, text := call(t, "POST", url(lead, "/registry/leases/duty/release"), `{"holder":"p2","token":2}`); code != 200 {
+		t.Fatalf("release: %d %s", code, text)
+	}
+	if code, text := acquire(lead, "p3"); code != 200 || !strings.Contains(text, `"token":3`) {
+		t.Fatalf("after release: %d %s", code, text)
+	}
+	// The leader goes while p3 holds: the next leader waits a full TTL before p4 may have it.
+	c.stop(lead)
+	stopped := time.Now()
+	next := c.leader(t)
+	code = 0
+	for code != 200 && time.Since(stopped) < 5*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		code, _ = acquire(next, "p4")
+	}
+	if waited := time.Since(stopped); code != 200 || waited < 300*time.Millisecond {
+		t.Fatalf("after a leader change: %d after %s", code, waited)
+	}
+}
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -265,8 +265,12 @@
 		return Result{}, err
 	}
 	res, _ := f.Response().(Result)
-	if res.Err == nil && c.Op == "register" {
+	switch {
+	case res.Err != nil:
+	case c.Op == "register":
 		r.beat(c.Member.ID)
+	case c.Op == "acquire":
+		r.beat(leaseKey(c.Lease.Name))
 	}
 	return res, nil
 }
@@ -348,11 +352,12 @@
 				due = append(due, Command{Op: "expire", ID: id, Seen: e.Changed})
 			}
 		}
+		due = append(due, r.dueLeases(s, now)...)
 	})
 	for _, c := range due {
 		res, err := r.Write(c)
 		if err == nil && res.Err == nil {
-			r.log.Info("member expired", "member", c.ID, "revision", res.Revision)
+			r.log.Info("expired", "member", c.ID, "lease", c.Lease.Name, "revision", res.Revision)
 		}
 	}
 }
