Name the line of an out-of-range value in scenario and registry files

Change: checks return tomlconf.Bad(key, ...); tomlconf.Locate finds the line that sets that dotted key, following [table] headers, and puts it in front. Keys inside [[fault]] and [[peer]] arrays keep their entry's number instead.

--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -93,29 +93,29 @@
 	if err := tomlconf.Decode(text, &s); err != nil {
 		return Scenario{}, err
 	}
-	return s, s.check()
+	return s, tomlconf.Locate(text, s.check())
 }
 
 func (s Scenario) check() error {
 	switch {
 	case s.Nodes < 1 || s.Nodes > 64:
-		return fmt.Errorf("key \"nodes\": %d is outside 1 to 64", s.Nodes)
+		return tomlconf.Bad("nodes", "%d is outside 1 to 64", s.Nodes)
 	case s.Backends < 1 || s.Backends > 256:
-		return fmt.Errorf("key \"backends\": %d is outside 1 to 256", s.Backends)
+		return tomlconf.Bad("backends", "%d is outside 1 to 256", s.Backends)
 	case s.Registries < 0 || s.Registries > 7:
-		return fmt.Errorf("key \"registries\": %d is outside 0 to 7", s.Registries)
+		return tomlconf.Bad("registries", "%d is outside 0 to 7", s.Registries)
 	case s.Duration.Duration <= 0 || s.Duration.Duration > time.Hour:
-		return fmt.Errorf("key \"duration\": %s is outside 0 to 1h", s.Duration)
+		return tomlconf.Bad("duration", "%s is outside 0 to 1h", s.Duration)
 	case s.Load.Rate <= 0 || s.Load.Rate > 20000:
-		return fmt.Errorf("key \"load.rate\": %g is outside 0 to 20000", s.Load.Rate)
+		return tomlconf.Bad("load.rate", "%g is outside 0 to 20000", s.Load.Rate)
 	case s.Load.Count < 1:
-		return fmt.Errorf("key \"load.count\": %d is below 1", s.Load.Count)
+		return tomlconf.Bad("load.count", "%d is below 1", s.Load.Count)
 	case s.Load.Deadline.Duration < 10*time.Millisecond:
-		return fmt.Errorf("key \"load.deadline\": %s is below 10ms", s.Load.Deadline)
+		return tomlconf.Bad("load.deadline", "%s is below 10ms", s.Load.Deadline)
 	case s.Load.Unsafe < 0 || s.Load.Unsafe > 1:
-		return fmt.Errorf("key \"load.unsafe\": %g is outside 0 to 1", s.Load.Unsafe)
+		return tomlconf.Bad("load.unsafe", "%g is outside 0 to 1", s.Load.Unsafe)
 	case s.Backend.Errors < 0 || s.Backend.Errors > 1:
-		return fmt.Errorf("key \"backend.errors\": %g is outside 0 to 1", s.Backend.Errors)
+		return tomlconf.Bad("backend.errors", "%g is outside 0 to 1", s.Backend.Errors)
 	}
 	for i, f := range s.Faults {
 		if err := s.checkFault(f); err != nil {
@@ -127,21 +127,21 @@
 
 func (s Scenario) checkFault(f Fault) error {
 	if !faultKinds[f.Kind] {
-		return fmt.Errorf("key \"kind\": %q is not a fault kind", f.Kind)
+		return tomlconf.Bad("kind", "%q is not a fault kind", f.Kind)
 	}
 	if f.At.Duration < 0 || f.At.Duration > s.Duration.Duration {
-		return fmt.Errorf("key \"at\": %s is outside the scenario's duration", f.At)
+		return tomlconf.Bad("at", "%s is outside the scenario's duration", f.At)
 	}
 	if len(f.Target) == 0 {
 		return errors.New("key \"target\": missing")
 	}
 	for _, t := range f.Target {
 		if err := s.checkTarget(f.Kind, t); err != nil {
-			return fmt.Errorf("key \"target\": %w", err)
+			return tomlconf.Bad("target", "%v", err)
 		}
 	}
 	if f.Kind == "drop" && (f.Share <= 0 || f.Share > 1) {
-		return fmt.Errorf("key \"share\": %g is outside 0 to 1", f.Share)
+		return tomlconf.Bad("share", "%g is outside 0 to 1", f.Share)
 	}
 	if f.Kind == "delay" && f.Delay.Duration <= 0 {
 		return errors.New("key \"delay\": missing")
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -70,39 +70,39 @@
 	if err := tomlconf.Decode(text, &c); err != nil {
 		return Config{}, err
 	}
-	return c, c.Check()
+	return c, tomlconf.Locate(text, c.Check())
 }
 
 // Check refuses what cannot work: missing names, bad addresses, a cluster without this replica, timeouts out of
 // order.
 func (c Config) Check() error {
 	if c.ID == "" {
-		return fmt.Errorf("key %q: missing", "id")
+		return tomlconf.Bad("id", "missing")
 	}
 	if c.DataDir == "" {
-		return fmt.Errorf("key %q: missing", "data_dir")
+		return tomlconf.Bad("data_dir", "missing")
 	}
 	for _, a := range []struct{ key, addr string }{{"http", c.HTTP}, {"raft", c.Raft}} {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
-			return fmt.Errorf("key %q: %q is not an address with a port", a.key, a.addr)
+			return tomlconf.Bad(a.key, "%q is not an address with a port", a.addr)
 		}
 	}
 	t := c.Timing
 	switch {
 	case c.Ring < 16:
-		return fmt.Errorf("key %q: %d is below 16", "ring", c.Ring)
+		return tomlconf.Bad("ring", "%d is below 16", c.Ring)
 	case c.MaxCalls < 1:
-		return fmt.Errorf("key %q: %d is below 1", "max_calls", c.MaxCalls)
+		return tomlconf.Bad("max_calls", "%d is below 1", c.MaxCalls)
 	case t.Heartbeat.Duration < 5*time.Millisecond:
-		return fmt.Errorf("key %q: %s is below 5ms", "raft_timing.heartbeat", t.Heartbeat)
+		return tomlconf.Bad("raft_timing.heartbeat", "%s is below 5ms", t.Heartbeat)
 	case t.Election.Duration < t.Heartbeat.Duration:
-		return fmt.Errorf("key %q: %s is below the heartbeat's %s", "raft_timing.election", t.Election, t.Heartbeat)
+		return tomlconf.Bad("raft_timing.election", "%s is below the heartbeat's %s", t.Election, t.Heartbeat)
 	case t.LeaderLease.Duration <= 0 || t.LeaderLease.Duration > t.Heartbeat.Duration:
-		return fmt.Errorf("key %q: %s is not within 0 and the heartbeat's %s", "raft_timing.leader_lease", t.LeaderLease, t.Heartbeat)
+		return tomlconf.Bad("raft_timing.leader_lease", "%s is not within 0 and the heartbeat's %s", t.LeaderLease, t.Heartbeat)
 	case t.Commit.Duration <= 0:
-		return fmt.Errorf("key %q: must be above 0", "raft_timing.commit")
+		return tomlconf.Bad("raft_timing.commit", "must be above 0")
 	case c.StaleRead.Duration < 0:
-		return fmt.Errorf("key %q: negative", "stale_read")
+		return tomlconf.Bad("stale_read", "negative")
 	}
 	self := false
 	seen := map[string]bool{}
@@ -124,7 +124,7 @@
 		}
 	}
 	if len(c.Peers) > 0 && !self {
-		return fmt.Errorf("key %q: this replica (%s) is not among the peers", "peer", c.ID)
+		return tomlconf.Bad("peer", "this replica (%s) is not among the peers", c.ID)
 	}
 	return nil
 }
