Keep every request's outcome in the lab's output folder

Need: the drain check's failure from a fresh clone could not be followed to the node that sent each late request, since report.json keeps counts and examples only.

Change: the lab writes outcomes.jsonl (trace id, node, class, times, status, kind, error), one line a request, beside the backends' logs of runs, so that a violation's trace id leads to its node.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -341,9 +341,28 @@
 	}
 	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, starts, acked)
 	r.Propagation = newSpread(l.propagation)
+	if err := writeOutcomes(filepath.Join(l.opts.Out, "outcomes.jsonl"), h.Outcomes); err != nil {
+		return r, err
+	}
 	return r, r.Write(l.opts.Out)
 }
 
+// writeOutcomes keeps every request's outcome, its node among them, so that a violation can be followed by trace id.
+func writeOutcomes(path string, outcomes []Outcome) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(f)
+	for _, o := range outcomes {
+		if err := enc.Encode(o); err != nil {
+			f.Close()
+			return err
+		}
+	}
+	return f.Close()
+}
+
 // timeline applies each fault at its time; faults with a For are undone by a timer that close waits for.
 func (l *lab) timeline(ctx context.Context) {
 	faults := slices.Clone(l.s.Faults)
