Take the driver's outcomes once at the end of a lab run

Need: reading the change again, play() called Driver.Outcomes twice, copying every outcome a second time only to read the count of unsent requests.

Change: one call gives both. No change of behaviour.

Measured: go vet clean; the lab's fleet, scenario and drain tests pass (9 s).

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -326,8 +326,8 @@
 	drained := l.disc.Drained()
 	maps.Copy(drained, l.drained)
 	h := History{Drained: drained, Grace: l.s.Grace.Duration, Windows: l.windows}
-	h.Outcomes, _ = d.Outcomes()
-	_, unsent := d.Outcomes()
+	var unsent int
+	h.Outcomes, unsent = d.Outcomes()
 	for j := range l.backends {
 		runs, err := ReadExecutions(filepath.Join(l.opts.Out, fmt.Sprintf("backend-%d.runs", j)))
 		if err != nil && !errors.Is(err, os.ErrNotExist) {
