--- /dev/null
+++ b/cmd/hitchvale/lab.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"glencart/internal/lab"
+)
+
+func labCmd(g *globals) *cobra.Command {
+	c := &cobra.Command{Use: "lab", Short: "The fault lab: start processes on loopback, break them, check the history"}
+	c.AddCommand(labRunCmd(g), labCheckCmd(), labBackendCmd(g))
+	return c
+}
+
+func labCheckCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check SCENARIO.toml",
+		Short: "Check a scenario file without running it",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := lab.LoadScenario(args[0])
+			if err != nil {
+				return usage(err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d nodes, %d backends, %d faults over %s\n", s.Name, s.Nodes, s.Backends,
+				len(s.Faults), s.Duration)
+			return nil
+		},
+	}
+}
+
+func labRunCmd(g *globals) *cobra.Command {
+	var out, bin string
+	c := &cobra.Command{
+		Use:   "run SCENARIO.toml",
+		Short: "Play a scenario and write report.json and plots; exit 1 where an invariant fails",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			log, err := g.logger()
+			if err != nil {
+				return err
+			}
+			s, err := lab.LoadScenario(args[0])
+			if err != nil {
+				return usage(err)
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return failed(err)
+			}
+			if bin == "" {
+				bin = filepath.Dir(self)
+			}
+			if out == "" {
+				out = filepath.Join("logs", "lab", s.Name+"-"+time.Now().Format("20060102T150405"))
+			}
+			opts := lab.Options{Glencart: filepath.Join(bin, "glencart"), Hitchvale: self, Out: out, Log: log}
+			r, err := lab.Run(cmd.Context(), s, opts)
+			if err != nil {
+				return failed(err)
+			}
+			summary, _ := json.Marshal(struct {
+				Passed bool           `json:"passed"`
+				Counts map[string]int `json:"counts"`
+				Out    string         `json:"out"`
+			}{r.Passed, r.Counts, out})
+			fmt.Fprintln(cmd.OutOrStdout(), string(summary))
+			for _, c := range r.Checks {
+				if !c.OK {
+					return failed(fmt.Errorf("%s: %d violations, first %v", c.Name, c.Violations, c.Examples))
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&out, "out", "", "output folder (default logs/lab/NAME-TIME)")
+	c.Flags().StringVar(&bin, "bin", "", "folder with the glencart binary (default: this command's folder)")
+	return c
+}
+
+// labBackendCmd is the stand-in backend that the lab starts; it is a command of its own so that it can be killed,
+// paused and restarted as a real process.
+func labBackendCmd(g *globals) *cobra.Command {
+	var id, listen, logPath string
+	var b lab.Behavior
+	var service time.Duration
+	var seed uint64
+	c := &cobra.Command{
+		Use:    "backend",
+		Short:  "Serve as a stand-in backend (started by the lab)",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if b.Errors < 0 || b.Errors > 1 {
+				return usage(fmt.Errorf("--errors: %g is outside 0 to 1", b.Errors))
+			}
+			ln, err := net.Listen("tcp", listen)
+			if err != nil {
+				return failed(err)
+			}
+			b.Service.Duration = service
+			return lab.ServeBackend(cmd.Context(), ln, id, b, logPath, seed)
+		},
+	}
+	c.Flags().StringVar(&id, "id", "backend", "the backend's id in discovery")
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	c.Flags().StringVar(&logPath, "log", "backend.runs", "file that each request run is appended to")
+	c.Flags().DurationVar(&service, "service", 2*time.Millisecond, "service time of each request")
+	c.Flags().Float64Var(&b.Errors, "errors", 0, "share of requests answered 500")
+	c.Flags().BoolVar(&b.Twice, "twice", false, "planted bug: run every POST twice")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the random errors")
+	return c
+}
--- /dev/null
+++ b/internal/lab/check.go
@@ -0,0 +1,111 @@
+package lab
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Window is a time in which a node was under a fault of its own process or of its clients' link: requests that
+// it held then may go unanswered through no fault of its code, and are counted apart, not excused silently.
+type Window struct {
+	Node       int    `json:"node"`
+	From, Till int64  `json:"-"` // Unix nanoseconds; Till 0: to the end
+	Kind       string `json:"kind"`
+}
+
+// Check is one invariant's verdict over the history.
+type Check struct {
+	Name       string   `json:"name"`
+	OK         bool     `json:"ok"`
+	Violations int      `json:"violations"`
+	Examples   []string `json:"examples,omitempty"` // the first few, by trace id
+}
+
+// History is what a run recorded: the driver's outcomes, the backends' executions, the faults' windows and
+// the times at which backends were set draining.
+type History struct {
+	Outcomes   []Outcome
+	Executions []Execution
+	Windows    []Window
+	Drained    map[string]time.Time
+	Grace      time.Duration // drain grace
+}
+
+const maxExamples = 10
+
+// Verify checks the invariants of docs/ROADMAP.md: a final answer for every request that no fault of its own
+// node touched; no request that is unsafe to repeat ran twice, and none ran that no client sent; nothing reached
+// a draining backend past the grace.
+func Verify(h History) []Check {
+	return []Check{h.finalAnswers(), h.noDoubleEffect(), h.noneAfterDrain()}
+}
+
+// Excused tells whether a request was held by a node that a fault touched while it waited.
+func (h History) Excused(o Outcome, wait time.Duration) bool {
+	end := o.Done
+	if end == 0 {
+		end = o.Sent + int64(wait)
+	}
+	for _, w := range h.Windows {
+		if w.Node == o.Node && w.From <= end && (w.Till == 0 || w.Till >= o.Sent) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h History) finalAnswers() Check {
+	c := Check{Name: "every request gets its final answer"}
+	for _, o := range h.Outcomes {
+		if (o.Kind == "broken" || o.Kind == "none") && !h.Excused(o, 0) {
+			c.add(fmt.Sprintf("%s at node-%d: %s", o.Trace, o.Node, o.Kind))
+		}
+	}
+	return c.done()
+}
+
+func (h History) noDoubleEffect() Check {
+	c := Check{Name: "no request runs twice or unasked"}
+	sent := make(map[string]string, len(h.Outcomes))
+	for _, o := range h.Outcomes {
+		sent[o.Trace] = o.Class
+	}
+	runs := map[string]int{}
+	for _, e := range h.Executions {
+		class, ok := sent[e.Trace]
+		switch {
+		case !ok:
+			c.add(fmt.Sprintf("%s at %s: no client sent it", e.Trace, e.Backend))
+		case class == "claim":
+			if runs[e.Trace]++; runs[e.Trace] == 2 {
+				c.add(fmt.Sprintf("%s: ran twice, again at %s", e.Trace, e.Backend))
+			}
+		}
+	}
+	return c.done()
+}
+
+func (h History) noneAfterDrain() Check {
+	c := Check{Name: "nothing reaches a draining backend past the grace"}
+	for _, e := range h.Executions {
+		if at, ok := h.Drained[e.Backend]; ok && e.At > at.Add(h.Grace).UnixNano() {
+			c.add(fmt.Sprintf("%s at %s: %s after it was set draining", e.Trace, e.Backend,
+				time.Duration(e.At-at.UnixNano()).Round(time.Millisecond)))
+		}
+	}
+	return c.done()
+}
+
+func (c *Check) add(example string) {
+	c.Violations++
+	if len(c.Examples) < maxExamples {
+		c.Examples = append(c.Examples, example)
+	}
+}
+
+func (c Check) done() Check {
+	c.OK = c.Violations == 0
+	sort.Strings(c.Examples)
+	return c
+}
--- /dev/null
+++ b/internal/lab/discovery.go
@@ -0,0 +1,170 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Member is one entry of the list in PROTOCOL-hitchvale.md's discovery form.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+type listAnswer struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Discovery is the lab's stand-in for discovery, until the registry serves: one list with a revision that each
+// change raises, served to each node on a listener of its own (a view) in which host_port is that node's proxy to
+// the backend. It answers GET /registry/instances and the watch ?after=R&wait_ms=W as PROTOCOL says: changed
+// entries since R, or the whole list where R is unknown; wait_ms at most 60,000.
+type Discovery struct {
+	mu       sync.Mutex
+	revision int64
+	members  []Member // host_port is the backend's own address; views replace it
+	changed  []int64  // revision at which each member last changed
+	notify   chan struct{}
+	drained  map[string]time.Time
+	servers  []*http.Server
+	wg       sync.WaitGroup
+}
+
+// NewDiscovery starts with the members listed (all ready) at revision 1.
+func NewDiscovery(members []Member) *Discovery {
+	d := &Discovery{revision: 1, members: members, changed: make([]int64, len(members)), notify: make(chan struct{}),
+		drained: map[string]time.Time{}}
+	for i := range d.changed {
+		d.changed[i] = 1
+	}
+	return d
+}
+
+// View serves the list on a new listener of 127.0.0.1, with each backend's address replaced by addr(id).
+func (d *Discovery) View(addr func(id string) string) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, addr) }),
+		ReadHeaderTimeout: 5 * time.Second}
+	d.mu.Lock()
+	d.servers = append(d.servers, srv)
+	d.mu.Unlock()
+	d.wg.Go(func() { srv.Serve(ln) })
+	return ln.Addr().String(), nil
+}
+
+// SetPhase changes a member's phase and raises the revision; it returns when the change was made.
+func (d *Discovery) SetPhase(id, phase string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.members {
+		if d.members[i].ID == id && d.members[i].Phase != phase {
+			d.revision++
+			d.members[i].Phase, d.changed[i] = phase, d.revision
+			if phase == "draining" {
+				d.drained[id] = time.Now()
+			}
+			close(d.notify)
+			d.notify = make(chan struct{})
+		}
+	}
+}
+
+// Drained gives the time at which each drained backend was set draining.
+func (d *Discovery) Drained() map[string]time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]time.Time, len(d.drained))
+	for k, v := range d.drained {
+		out[k] = v
+	}
+	return out
+}
+
+// Close ends every view and its watches.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	servers := d.servers
+	d.mu.Unlock()
+	for _, s := range servers {
+		s.Shutdown(context.Background())
+		s.Close()
+	}
+	d.wg.Wait()
+}
+
+func (d *Discovery) serve(w http.ResponseWriter, r *http.Request, addr func(string) string) {
+	if r.URL.Path != "/registry/instances" || r.Method != http.MethodGet {
+		http.NotFound(w, r)
+		return
+	}
+	q := r.URL.Query()
+	after, watch := int64(-1), q.Has("after")
+	if watch {
+		var err error
+		if after, err = strconv.ParseInt(q.Get("after"), 10, 64); err != nil {
+			http.Error(w, "after: not a revision", http.StatusBadRequest)
+			return
+		}
+		wait, err := strconv.Atoi(q.Get("wait_ms"))
+		if err != nil || wait < 0 {
+			http.Error(w, "wait_ms: not a number of milliseconds", http.StatusBadRequest)
+			return
+		}
+		d.waitPast(r.Context(), after, time.Duration(min(wait, 60000))*time.Millisecond)
+	}
+	a := d.answer(after, addr)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(a)
+}
+
+// waitPast holds until the revision passes after, the wait ends or the caller goes.
+func (d *Discovery) waitPast(ctx context.Context, after int64, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		d.mu.Lock()
+		rev, ch := d.revision, d.notify
+		d.mu.Unlock()
+		if rev > after {
+			return
+		}
+		select {
+		case <-ch:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// answer is the whole list, or what changed after a revision that the list knows.
+func (d *Discovery) answer(after int64, addr func(string) string) listAnswer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	whole := after < 1 || after > d.revision
+	a := listAnswer{Revision: d.revision, Complete: whole, Members: []Member{}}
+	for i, m := range d.members {
+		if whole || d.changed[i] > after {
+			m.HostPort = addr(m.ID)
+			a.Members = append(a.Members, m)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,166 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Second is one second of a run, counted by the second in which each request was sent.
+type Second struct {
+	At      int     `json:"at_s"`
+	Sent    int     `json:"sent"`
+	Served  int     `json:"served"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Lost    int     `json:"unanswered"` // broken or none, excused or not
+	P50     float64 `json:"p50_ms"`     // of served requests
+	P99     float64 `json:"p99_ms"`
+}
+
+// FaultMark is a fault as it was applied, in seconds from the start.
+type FaultMark struct {
+	At     float64  `json:"at_s"`
+	Kind   string   `json:"kind"`
+	Target []string `json:"target"`
+	Error  string   `json:"error,omitempty"`
+}
+
+// Report is what `report.json` holds.
+type Report struct {
+	Scenario string         `json:"scenario"`
+	Passed   bool           `json:"passed"`
+	Counts   map[string]int `json:"counts"` // by outcome kind, with "excused" and "unsent"
+	Checks   []Check        `json:"checks"`
+	Faults   []FaultMark    `json:"faults"`
+	Seconds  []Second       `json:"seconds"`
+	Runs     int            `json:"executions"`
+	Starts   map[string]int `json:"starts"` // process starts by name, restarts included
+}
+
+// Summarize builds the report of a run that began at start.
+func Summarize(name string, start time.Time, h History, faults []FaultMark, unsent int, starts map[string]int) Report {
+	r := Report{Scenario: name, Counts: map[string]int{"unsent": unsent}, Checks: Verify(h), Faults: faults,
+		Runs: len(h.Executions), Starts: starts, Passed: true}
+	for _, c := range r.Checks {
+		r.Passed = r.Passed && c.OK
+	}
+	lat := map[int][]float64{}
+	for _, o := range h.Outcomes {
+		r.Counts[o.Kind]++
+		s := int(time.Duration(o.Sent - start.UnixNano()).Seconds())
+		for len(r.Seconds) <= s {
+			r.Seconds = append(r.Seconds, Second{At: len(r.Seconds)})
+		}
+		sec := &r.Seconds[s]
+		sec.Sent++
+		switch o.Kind {
+		case "served":
+			sec.Served++
+			lat[s] = append(lat[s], float64(o.Done-o.Sent)/1e6)
+		case "refused":
+			sec.Refused++
+		case "failed":
+			sec.Failed++
+		default:
+			sec.Lost++
+			if h.Excused(o, 0) {
+				r.Counts["excused"]++
+			}
+		}
+	}
+	for s, l := range lat {
+		slices.Sort(l)
+		r.Seconds[s].P50, r.Seconds[s].P99 = quantile(l, 0.5), quantile(l, 0.99)
+	}
+	return r
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// Write puts report.json and the plots into dir.
+func (r Report) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.json"), append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	for _, p := range []struct {
+		file, title, unit string
+		lines            map[string]func(Second) float64
+	}{
+		{"throughput.png", "answers by the second they were asked", "requests", map[string]func(Second) float64{
+			"sent": func(s Second) float64 { return float64(s.Sent) }, "served": func(s Second) float64 { return float64(s.Served) }}},
+		{"latency.png", "latency of served requests", "ms", map[string]func(Second) float64{
+			"p50": func(s Second) float64 { return s.P50 }, "p99": func(s Second) float64 { return s.P99 }}},
+		{"errors.png", "requests not served", "requests", map[string]func(Second) float64{
+			"refused": func(s Second) float64 { return float64(s.Refused) }, "failed": func(s Second) float64 { return float64(s.Failed) },
+			"unanswered": func(s Second) float64 { return float64(s.Lost) }}},
+	} {
+		if err := r.plot(filepath.Join(dir, p.file), p.title, p.unit, p.lines); err != nil {
+			return fmt.Errorf("%s: %w", p.file, err)
+		}
+	}
+	return nil
+}
+
+var palette = []color.Color{color.RGBA{0x1f, 0x77, 0xb4, 0xff}, color.RGBA{0xd6, 0x27, 0x28, 0xff}, color.RGBA{0x2c, 0xa0, 0x2c, 0xff}}
+
+func (r Report) plot(path, title, unit string, lines map[string]func(Second) float64) error {
+	p := plot.New()
+	p.Title.Text = r.Scenario + ": " + title
+	p.X.Label.Text, p.Y.Label.Text = "seconds", unit
+	names := make([]string, 0, len(lines))
+	for n := range lines {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	top := 1.0
+	for i, n := range names {
+		pts := make(plotter.XYs, len(r.Seconds))
+		for j, s := range r.Seconds {
+			pts[j] = plotter.XY{X: float64(s.At), Y: lines[n](s)}
+			top = max(top, pts[j].Y)
+		}
+		l, err := plotter.NewLine(pts)
+		if err != nil {
+			return err
+		}
+		l.Color = palette[i%len(palette)]
+		p.Add(l)
+		p.Legend.Add(n, l)
+	}
+	for _, f := range r.Faults {
+		mark, err := plotter.NewLine(plotter.XYs{{X: f.At, Y: 0}, {X: f.At, Y: top}})
+		if err != nil {
+			return err
+		}
+		mark.Color, mark.Dashes = color.Gray{0x80}, []vg.Length{vg.Points(3), vg.Points(3)}
+		p.Add(mark)
+		lbl, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: f.At, Y: top}}, Labels: []string{f.Kind}})
+		if err != nil {
+			return err
+		}
+		p.Add(lbl)
+	}
+	p.Legend.Top = true
+	return p.Save(8*vg.Inch, 4*vg.Inch, path)
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,245 @@
+// Package lab is the project's fault lab: it starts real processes of the program on loopback (nodes, stand-in
+// backends), places a TCP fault proxy on every link, plays a timeline of faults, records every request's outcome,
+// checks the invariants from that history and writes a report with plots. See docs/ROADMAP.md for its design.
+package lab
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Scenario is one experiment, as written in a TOML file.
+type Scenario struct {
+	Name     string   `toml:"name"`
+	Seed     uint64   `toml:"seed"`
+	Duration Duration `toml:"duration"` // how long the driver sends; the lab then waits for answers
+	Nodes    int      `toml:"nodes"`
+	Backends int      `toml:"backends"`
+	// Grace is how long a draining backend may still receive requests (the settings' drainGrace).
+	Grace   Duration `toml:"grace"`
+	Load    Load     `toml:"load"`
+	Backend Behavior `toml:"backend"`
+	Faults  []Fault  `toml:"fault"`
+}
+
+// Load is what the driver sends: Rate requests a second in all, spread over the nodes, at most Count of them.
+// Unsafe is the share sent as POST without an idempotency key (the class that must never run twice).
+type Load struct {
+	Rate     float64  `toml:"rate"`
+	Count    int      `toml:"count"`
+	Deadline Duration `toml:"deadline"` // the client's wait for an answer
+	Unsafe   float64  `toml:"unsafe"`
+}
+
+// Behavior is how stand-in backends serve: a service time, a share of 500s, and a planted bug that runs every
+// request twice (Twice), which the lab's check must catch.
+type Behavior struct {
+	Service Duration `toml:"service"`
+	Errors  float64  `toml:"errors"`
+	Twice   bool     `toml:"twice"`
+}
+
+// Fault is one step of the timeline. Kinds and their targets:
+//
+//	kill, term, pause (For), restart    node-N or backend-N: SIGKILL, SIGTERM, SIGSTOP then SIGCONT, start again
+//	power                               a list of targets killed at once
+//	partition, delay (Delay), reset, drop (Share)   a link: client-node-N or node-N:backend-M, or a glob of them
+//	drain                               backend-N set draining in discovery
+//	fill                                node-N: Bytes written into its temporary folder
+//
+// A fault with For is undone after that time (partition healed, delay removed, process continued).
+type Fault struct {
+	At     Duration `toml:"at"`
+	Kind   string   `toml:"kind"`
+	Target []string `toml:"target"`
+	For    Duration `toml:"for"`
+	Delay  Duration `toml:"delay"`
+	Share  float64  `toml:"share"`
+	Bytes  int64    `toml:"bytes"`
+}
+
+// Duration is a time.Duration written as "2s" or "150ms" in TOML.
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads a Go duration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return err
+	}
+	d.Duration = v
+	return nil
+}
+
+// MarshalText writes a Go duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+var faultKinds = map[string]bool{"kill": true, "term": true, "pause": true, "restart": true, "power": true,
+	"partition": true, "delay": true, "reset": true, "drop": true, "drain": true, "fill": true}
+
+// LoadScenario reads and checks a scenario file. Errors name the file, the line and the key.
+func LoadScenario(path string) (Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("scenario: %w", err)
+	}
+	s, err := ParseScenario(text)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseScenario decodes a scenario strictly: an unknown key, a wrong type or a value out of range is an error
+// that names its line and key.
+func ParseScenario(text []byte) (Scenario, error) {
+	s := Scenario{Duration: Duration{10 * time.Second}, Grace: Duration{time.Second},
+		Load: Load{Rate: 100, Count: 100000, Deadline: Duration{time.Second}}}
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Scenario{}, describe(err)
+	}
+	return s, s.check()
+}
+
+// describe turns the decoder's errors into one line with the position and key.
+func describe(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		e := strict.Errors[0]
+		row, _ := e.Position()
+		return fmt.Errorf("line %d: unknown key %q", row, strings.Join(e.Key(), "."))
+	}
+	var dec *toml.DecodeError
+	if errors.As(err, &dec) {
+		row, _ := dec.Position()
+		if k := dec.Key(); len(k) > 0 {
+			return fmt.Errorf("line %d: key %q: %s", row, strings.Join(k, "."), dec.Error())
+		}
+		return fmt.Errorf("line %d: %s", row, dec.Error())
+	}
+	return err
+}
+
+func (s Scenario) check() error {
+	switch {
+	case s.Nodes < 1 || s.Nodes > 64:
+		return fmt.Errorf("key \"nodes\": %d is outside 1 to 64", s.Nodes)
+	case s.Backends < 1 || s.Backends > 256:
+		return fmt.Errorf("key \"backends\": %d is outside 1 to 256", s.Backends)
+	case s.Duration.Duration <= 0 || s.Duration.Duration > time.Hour:
+		return fmt.Errorf("key \"duration\": %s is outside 0 to 1h", s.Duration)
+	case s.Load.Rate <= 0 || s.Load.Rate > 20000:
+		return fmt.Errorf("key \"load.rate\": %g is outside 0 to 20000", s.Load.Rate)
+	case s.Load.Count < 1:
+		return fmt.Errorf("key \"load.count\": %d is below 1", s.Load.Count)
+	case s.Load.Deadline.Duration < 10*time.Millisecond:
+		return fmt.Errorf("key \"load.deadline\": %s is below 10ms", s.Load.Deadline)
+	case s.Load.Unsafe < 0 || s.Load.Unsafe > 1:
+		return fmt.Errorf("key \"load.unsafe\": %g is outside 0 to 1", s.Load.Unsafe)
+	case s.Backend.Errors < 0 || s.Backend.Errors > 1:
+		return fmt.Errorf("key \"backend.errors\": %g is outside 0 to 1", s.Backend.Errors)
+	}
+	for i, f := range s.Faults {
+		if err := s.checkFault(f); err != nil {
+			return fmt.Errorf("fault %d (%s at %s): %w", i+1, f.Kind, f.At, err)
+		}
+	}
+	return nil
+}
+
+func (s Scenario) checkFault(f Fault) error {
+	if !faultKinds[f.Kind] {
+		return fmt.Errorf("key \"kind\": %q is not a fault kind", f.Kind)
+	}
+	if f.At.Duration < 0 || f.At.Duration > s.Duration.Duration {
+		return fmt.Errorf("key \"at\": %s is outside the scenario's duration", f.At)
+	}
+	if len(f.Target) == 0 {
+		return errors.New("key \"target\": missing")
+	}
+	for _, t := range f.Target {
+		if err := s.checkTarget(f.Kind, t); err != nil {
+			return fmt.Errorf("key \"target\": %w", err)
+		}
+	}
+	if f.Kind == "drop" && (f.Share <= 0 || f.Share > 1) {
+		return fmt.Errorf("key \"share\": %g is outside 0 to 1", f.Share)
+	}
+	if f.Kind == "delay" && f.Delay.Duration <= 0 {
+		return errors.New("key \"delay\": missing")
+	}
+	return nil
+}
+
+// checkTarget accepts node-N and backend-N for processes, and links for the proxy's faults.
+func (s Scenario) checkTarget(kind, t string) error {
+	switch kind {
+	case "partition", "delay", "reset", "drop":
+		if _, _, err := s.parseLink(t); err != nil {
+			return err
+		}
+		return nil
+	}
+	role, i, err := parseProc(t)
+	if err != nil {
+		return err
+	}
+	if n := s.count(role); i >= n {
+		return fmt.Errorf("%q: there are %d of %s", t, n, role)
+	}
+	if (kind == "drain" && role != "backend") || (kind == "fill" && role != "node") {
+		return fmt.Errorf("%q: %s does not apply to a %s", t, kind, role)
+	}
+	return nil
+}
+
+func (s Scenario) count(role string) int {
+	if role == "node" {
+		return s.Nodes
+	}
+	return s.Backends
+}
+
+// parseProc reads node-N or backend-N.
+func parseProc(t string) (role string, i int, err error) {
+	for _, role := range []string{"node", "backend"} {
+		if rest, ok := strings.CutPrefix(t, role+"-"); ok {
+			if _, err := fmt.Sscanf(rest, "%d", &i); err == nil && fmt.Sprint(i) == rest {
+				return role, i, nil
+			}
+		}
+	}
+	return "", 0, fmt.Errorf("%q is neither node-N nor backend-N", t)
+}
+
+// parseLink reads client-node-N, node-N:backend-M, node-N:backend-* or node-*:backend-M.
+func (s Scenario) parseLink(t string) (from, to string, err error) {
+	if rest, ok := strings.CutPrefix(t, "client-"); ok {
+		role, i, err := parseProc(rest)
+		if err != nil || role != "node" || i >= s.Nodes {
+			return "", "", fmt.Errorf("%q is not a link to a node of the scenario", t)
+		}
+		return "client", rest, nil
+	}
+	from, to, ok := strings.Cut(t, ":")
+	if !ok {
+		return "", "", fmt.Errorf("%q is not a link (client-node-N or node-N:backend-M)", t)
+	}
+	for _, side := range []struct{ name, role string }{{from, "node"}, {to, "backend"}} {
+		if side.name == side.role+"-*" {
+			continue
+		}
+		role, i, err := parseProc(side.name)
+		if err != nil || role != side.role || i >= s.count(role) {
+			return "", "", fmt.Errorf("%q is not a link of the scenario", t)
+		}
+	}
+	return from, to, nil
+}
