--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -61,6 +61,16 @@
 	return r
 }
 
+// requireChecks fails the test for each invariant that did not hold.
+func requireChecks(t *testing.T, r Report) {
+	t.Helper()
+	for _, c := range r.Checks {
+		if !c.OK {
+			t.Errorf("%s: %d violations, %v", c.Name, c.Violations, c.Examples)
+		}
+	}
+}
+
 const fleet = `
 name = "test"
 seed = 3
@@ -94,11 +104,7 @@
 kind = "drain"
 target = ["backend-4"]
 `)
-	for _, c := range r.Checks {
-		if !c.OK {
-			t.Errorf("%s: %d violations, %v", c.Name, c.Violations, c.Examples)
-		}
-	}
+	requireChecks(t, r)
 	if r.Counts["served"] < r.Counts["none"]+r.Counts["broken"] || r.Runs == 0 {
 		t.Errorf("too little served to judge: %v", r.Counts)
 	}
@@ -156,11 +162,7 @@
 kind = "drain"
 target = ["backend-4"]
 `)
-	for _, c := range r.Checks {
-		if !c.OK {
-			t.Errorf("%s: %d violations, %v", c.Name, c.Violations, c.Examples)
-		}
-	}
+	requireChecks(t, r)
 	for _, f := range r.Faults {
 		if f.Error != "" {
 			t.Errorf("%s %v: %s", f.Kind, f.Target, f.Error)
