--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -168,6 +168,10 @@
 			t.Errorf("%s %v: %s", f.Kind, f.Target, f.Error)
 		}
 	}
+	// Every node came to hold both drains' revisions (5 s stands for never).
+	if p := r.Propagation; p.N != 3*2 || p.Max >= 5000 {
+		t.Errorf("propagation of the drains: %+v", p)
+	}
 	if len(r.Checks) != 4 || r.Counts["served"] == 0 || r.Starts["registry-1"] != 2 {
 		t.Errorf("checks %d, counts %v, starts %v", len(r.Checks), r.Counts, r.Starts)
 	}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -44,6 +44,24 @@
 	Seconds  []Second       `json:"seconds"`
 	Runs     int            `json:"executions"`
 	Starts   map[string]int `json:"starts"` // process starts by name, restarts included
+	// Propagation is the time from a registry change's acknowledgement until each node held its revision.
+	Propagation Spread `json:"propagation_ms"`
+}
+
+// Spread sums up a sample: its size, median, 99th percentile and largest value.
+type Spread struct {
+	N   int     `json:"n"`
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+func newSpread(sample []float64) Spread {
+	if len(sample) == 0 {
+		return Spread{}
+	}
+	s := slices.Sorted(slices.Values(sample))
+	return Spread{N: len(s), P50: quantile(s, 0.5), P99: quantile(s, 0.99), Max: s[len(s)-1]}
 }
 
 // Summarize builds the report of a run that began at start.
