Count an answer before its last byte goes, so that who has read it finds it counted

Cause: TestLargeRequestsAreStreamed failed once on a busy machine with pending:1 completed.order:11 right after the twelfth answer. Halved between the test reading too soon and the node counting too late: front.serve counted in a deferred call, after write had flushed the whole answer (the explicit Flush behind an upload, each piece's Flush of a stream, and net/http's own write of anything over its 4 KiB buffer). So the node did answer before it counted. Ruled out: the loop (it holds no class counts; the figures are the front's) and the admin side (it reads atomics).

Change: an answer kept whole is counted before it is written, a stream of told length before the piece that completes it; one of untold length ends only after the handler has returned, which was counted in time before. A stream that breaks off still counts as failed.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -203,15 +203,23 @@
 	end  func(whole bool) // takes back the connection
 }
 
-// copyTo passes the answer on, and ends it.
-func (s *stream) copyTo(w http.ResponseWriter) (err error) {
+// copyTo passes the answer on, and ends it. It calls last before the last byte of an answer whose length is told; one
+// of untold length ends only after copyTo has returned.
+func (s *stream) copyTo(w http.ResponseWriter, last func()) (err error) {
 	whole := false
 	defer func() { s.end(whole) }()
 	rc := http.NewResponseController(w)
 	p := pieces.Get().(*[pieceSize]byte)
 	defer pieces.Put(p)
+	passed := int64(0)
+	if s.size == 0 {
+		last()
+	}
 	for piece := s.head; ; {
 		if len(piece) > 0 {
+			if passed += int64(len(piece)); passed == s.size {
+				last()
+			}
 			rc.SetWriteDeadline(time.Now().Add(takeWithin))
 			if _, err := w.Write(piece); err != nil {
 				return err
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -289,7 +289,15 @@
 		u.whole = begin   // a request is taken with its last byte
 		defer u.discard() // which may take its time: the request has been counted by then
 	}
-	defer func() { over(); f.figures.count(r.class, end) }()
+	var counted bool
+	count := func(kind answerKind) {
+		if !counted {
+			counted = true
+			over()
+			f.figures.count(r.class, kind)
+		}
+	}
+	defer func() { count(end) }()
 	f.loop.post(func() { f.loop.arrive(r) })
 	select {
 	case a := <-r.reply:
@@ -302,7 +310,8 @@
 		if u != nil {
 			http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
 		}
-		err := write(w, a)
+		// Who has read the whole answer finds it counted: so it is counted before its last byte goes.
+		err := write(w, a, func() { count(a.kind) })
 		if u != nil {
 			http.NewResponseController(w).Flush() // the rest of the body may take long to come
 		}
@@ -320,8 +329,12 @@
 	}
 }
 
-// write words an answer. Its error tells that a client was not given all of one that was streamed.
-func write(w http.ResponseWriter, a answer) error {
+// write words an answer, and calls whole before the last byte of it may go. Its error tells that a client was not given
+// all of one that was streamed.
+func write(w http.ResponseWriter, a answer, whole func()) error {
+	if a.stream == nil {
+		whole()
+	}
 	switch a.kind {
 	case served:
 		if a.contentType != "" {
@@ -334,7 +347,7 @@
 				w.Header().Set("Content-Length", strconv.FormatInt(a.stream.size, 10))
 			}
 			w.WriteHeader(http.StatusOK)
-			return a.stream.copyTo(w)
+			return a.stream.copyTo(w, whole)
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 		w.WriteHeader(http.StatusOK)
--- /dev/null
+++ b/internal/node/counted_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"glencart/internal/settings"
+)
+
+// lookingWriter is a client's side that looks at the node's figures as the last byte of an answer leaves.
+type lookingWriter struct {
+	header    http.Header
+	got, size int
+	look      func()
+}
+
+func (w *lookingWriter) Header() http.Header              { return w.header }
+func (w *lookingWriter) WriteHeader(int)                  {}
+func (w *lookingWriter) Flush()                           {}
+func (w *lookingWriter) SetWriteDeadline(time.Time) error { return nil }
+func (w *lookingWriter) SetReadDeadline(time.Time) error  { return nil }
+func (w *lookingWriter) Write(p []byte) (n int, err error) {
+	if w.got += len(p); w.got >= w.size {
+		w.look()
+	}
+	return len(p), nil
+}
+
+// Whoever has read the last byte of an answer finds it in the figures, and the request no more pending.
+func TestAnswersAreCountedBeforeTheirLastByte(t *testing.T) {
+	body := noise(40 << 10)
+	streamOf := func(t *testing.T, src io.Reader, size int64) *stream {
+		here, there := net.Pipe()
+		t.Cleanup(func() { here.Close(); there.Close() })
+		return &stream{head: body[:1000], size: size, body: src, cn: &conn{Conn: here}, end: func(bool) {}}
+	}
+	rest := func() io.Reader { return bytes.NewReader(body[1000:]) }
+	for name, tc := range map[string]struct {
+		answer func(t *testing.T) answer
+		upload bool
+		broken bool // what comes of it is not whole
+	}{
+		"kept whole":      {answer: func(*testing.T) answer { return answer{kind: served, body: body} }},
+		"after an upload": {upload: true, answer: func(*testing.T) answer { return answer{kind: served, body: body} }},
+		"streamed":        {answer: func(t *testing.T) answer { return answer{kind: served, stream: streamOf(t, rest(), int64(len(body)))} }},
+		"streamed in bits": {answer: func(t *testing.T) answer {
+			return answer{kind: served, stream: streamOf(t, iotest.HalfReader(rest()), int64(len(body)))}
+		}},
+		"broken off": {broken: true, answer: func(t *testing.T) answer {
+			cut := io.MultiReader(bytes.NewReader(body[1000:5000]), iotest.ErrReader(errors.New("reset")))
+			return answer{kind: served, stream: streamOf(t, cut, int64(len(body)))}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(newLoop(nil, nil, newFigures([]string{"order"}), quiet()), settings.Settings{}, 64, quiet())
+			r := &request{reply: make(chan answer, 1)}
+			if tc.upload {
+				r.message.open = &upload{src: bytes.NewReader(nil), err: io.EOF}
+			}
+			r.reply <- tc.answer(t)
+			ends, looked := &f.figures.ends[0], false
+			w := &lookingWriter{header: http.Header{}, size: len(body)}
+			w.look = func() {
+				looked = true
+				if n, p := ends.completed.Load(), f.figures.pending.Load(); n != 1 || p != 0 {
+					t.Errorf("completed %d, pending %d with the last byte, want 1 and 0", n, p)
+				}
+			}
+			func() {
+				defer func() { _ = recover() }() // a broken answer aborts its handler
+				f.serve(w, httptest.NewRequest(http.MethodGet, "/x", nil), r)
+			}()
+			if looked == tc.broken || ends.completed.Load()+ends.failed.Load() != 1 || (ends.failed.Load() == 1) != tc.broken {
+				t.Errorf("last byte seen %v, completed %d, failed %d", looked, ends.completed.Load(), ends.failed.Load())
+			}
+		})
+	}
+}
