Ask beside a watch that is silent before what it misses counts as told; push: list first

Where lists are pushed the wait is 2 s and 6 s hold; where they are asked for it is 20 s, so a drain hidden by the silence counted from 22.0 s while the node gave up at 22.5 s and, in a fleet of 300, the module spreads its next call over 2.5 to 7.5 s: up to 30 s, beyond the drain's 2.5 s of grace. (b) a pushed list counts from the first moment of a new process, but one was ready at once on the list remembered. Ruled out: whole-list calls (given up at 5 s, told at 6 s) and calls that fail visibly (module's askEvery clock).

Change: one second after its wait a watch counts as silent, and the node asks for the changes (wait_ms=0) on a connection of its own beside it, which keeps its place in discovery's line; the first answer counts. Where lists are pushed, the first call of a process does not wait and the node is ready with its answer, or after 3 s without one; a process that has taken over goes on with its predecessor's list. Several replicas: unchanged, the next one is asked.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -28,8 +28,12 @@
 	// callSlack is how long an answer may take beyond that, and wholeWithin how long a whole list may take. All
 	// nodes share one discovery that takes calls in turn: one that is given up while it stands in line has cost its
 	// place all the same, and the next one waits behind it. So a node waits for its turn, and where discovery is
-	// overbooked hears from it that it won't come. Both stay below the time after which all counts as told.
+	// overbooked hears from it that it won't come. Both stay below the 6 s after which all counts as told; where a watch
+	// waits longer see silentAfter.
 	callSlack, wholeWithin = 2500 * time.Millisecond, 5 * time.Second
+	// silentAfter is how long after the end of its wait a watch that has not answered counts as silent. What a silent
+	// watch misses counts as told 2 s after that end, so the node asks anew before, on a connection of its own.
+	silentAfter = time.Second
 	// dialWithin is how long connecting may take: that needs no turn.
 	dialWithin = time.Second
 	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
@@ -128,6 +132,7 @@
 	// costs discovery work for each line.
 	have    bool
 	after   int64
+	heard   bool          // since the start of the process; until then no call waits where lists are pushed
 	patient time.Duration // for a whole list
 
 	// replicas are the addresses of a replicated registry, in the order they are tried; nil: one discovery. Its
@@ -280,10 +285,19 @@
 	for ctx.Err() == nil {
 		query, within := "", d.patient
 		if watch && d.have {
-			query = fmt.Sprintf("?after=%d&wait_ms=%d", d.after, d.wait.Milliseconds())
+			wait := d.wait
+			if d.asked == nil && !d.heard {
+				wait = 0
+			}
+			query = fmt.Sprintf("?after=%d&wait_ms=%d", d.after, wait.Milliseconds())
 			within = d.wait + callSlack
 		}
-		list, err := d.call(ctx, url+query, within)
+		var list List
+		if query == "" || len(d.replicas) > 1 { // a silent replica is left for the next
+			list, err = d.call(ctx, url+query, within)
+		} else {
+			list, err = d.watch(ctx, url, query)
+		}
 		if errors.Is(err, errMalformed) {
 			d.have = false // it told something that was missed
 		}
@@ -297,7 +311,7 @@
 			return heard, fmt.Errorf("revision %d from a replica behind the %d held", list.Revision, d.after)
 		}
 		answered := time.Now()
-		heard = true
+		heard, d.heard = true, true
 		d.news(list)
 		// When versions go back, or the watch has ended, what changed in between may be missing.
 		d.have = list.Complete || list.Revision >= d.after
@@ -310,6 +324,42 @@
 	return heard, nil
 }
 
+// watch makes a call that may wait. Where its answer stays out for silentAfter it asks for the changes at once beside it:
+// the watch may be broken, or stand in discovery's line, and keeps its place there. The first answer counts.
+func (d *discovery) watch(ctx context.Context, url, query string) (List, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	type answer struct {
+		list List
+		err  error
+	}
+	answers := make(chan answer, 2) // of two calls at the most
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	open := 0
+	start := func(query string, within time.Duration) {
+		open++
+		calls.Go(func() {
+			list, err := d.call(ctx, url+query, within)
+			answers <- answer{list, err}
+		})
+	}
+	start(query, d.wait+callSlack)
+	silent := time.NewTimer(d.wait + silentAfter)
+	defer silent.Stop()
+	for {
+		select {
+		case a := <-answers:
+			if open--; a.err == nil || open == 0 || errors.Is(a.err, errMalformed) {
+				return a.list, a.err
+			}
+		case <-silent.C:
+			d.log.Info("watch silent: asking beside it", "after", d.after)
+			start(fmt.Sprintf("?after=%d&wait_ms=0", d.after), callSlack)
+		}
+	}
+}
+
 // unwatched tells whether the module has ended its subscription.
 func (d *discovery) unwatched() bool {
 	select {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -42,6 +42,7 @@
 	figures *figures
 	shownAt time.Duration // when what only the loop knows was last published
 	ready   atomic.Bool   // some backend may be sent to
+	untold  bool          // lists are pushed, and this process has not read the agent's yet
 }
 
 // backend is a backend that discovery has named since the start of the node.
@@ -404,6 +405,7 @@
 		l.log.Info("list of backends", "revision", list.Revision, "complete", list.Complete, "members", len(list.Members))
 	}
 	l.revision = list.Revision
+	l.untold = l.untold && kind == balance.MembersRemembered
 	if list.Complete {
 		for _, b := range l.backends {
 			b.phase = balance.Gone // unless the list names it
@@ -445,11 +447,20 @@
 			l.back.pool.drop(b.to)
 		}
 	}
-	l.ready.Store(ready)
+	l.ready.Store(ready && !l.untold)
 	l.unsend()
 	l.show(l.now())
 }
 
+// waitNoLonger has the node serve on the list that it remembers: the agent has not answered.
+func (l *loop) waitNoLonger() {
+	if l.untold {
+		l.log.Warn("no list from discovery yet: serving on the one remembered")
+		l.untold = false
+		l.changed()
+	}
+}
+
 // maintain takes in what is out by hand now, and what has been put back.
 func (l *loop) maintain(now cordons) {
 	if now.Version <= l.cordons.Version {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,9 @@
 	lameDuck = 600 * time.Millisecond
 	// clearFor is how long there must be room to accept, for the backlog to be empty.
 	clearFor = 50 * time.Millisecond
+	// firstListWithin is how long a process waits for the first pushed list before it says that it is ready. An agent
+	// answers at once; one that is down must not keep the node away, which has 30 s to be ready.
+	firstListWithin = 3 * time.Second
 	// stillFor is how long nothing may be in flight before connections that never sent a request are cut.
 	stillFor, lookEvery = 300 * time.Millisecond, 10 * time.Millisecond
 )
@@ -45,6 +48,8 @@
 	admin    *admin.Server // nil: none is told
 	cordons  *cordonFile   // where there is an admin
 	handing  *handing      // likewise
+
+	firstList time.Duration // how long Run waits for a pushed list before the node is ready without
 }
 
 // New returns a node that is ready to run.
@@ -53,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log, figures: newFigures(cfg.Settings.Classes)}
+	n := &Node{cfg: cfg, log: log, firstList: firstListWithin, figures: newFigures(cfg.Settings.Classes)}
 	n.metrics = newMetrics(n.figures)
 	limits := cfg.Settings.Config.Limits
 	if cfg.Admin != "" {
@@ -160,6 +165,10 @@
 			n.cordons.follow(work, func(c cordons) { n.loop.post(func() { n.loop.maintain(c) }) })
 		})
 	}
+	// A pushed list counts as told from the first moment of a process, so it must not serve on an older one.
+	n.loop.untold = !n.cfg.Settings.Config.AskDiscovery && (n.handing == nil || n.handing.inherited == nil)
+	first := time.AfterFunc(n.firstList, func() { n.loop.post(n.loop.waitNoLonger) })
+	defer first.Stop()
 	known := n.cfg.Known
 	known.Complete = true
 	n.loop.list(balance.MembersRemembered, known)
--- /dev/null
+++ b/internal/node/silence_test.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/settings"
+)
+
+// scripted is discovery as a function of each call's number and query; an answer "" is none, until the caller goes.
+type scripted struct {
+	mu     sync.Mutex
+	asked  []string
+	answer func(call int, query string) (after time.Duration, text string)
+}
+
+func (s *scripted) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	n := len(s.asked)
+	s.asked = append(s.asked, r.URL.RawQuery)
+	s.mu.Unlock()
+	after, text := s.answer(n, r.URL.RawQuery)
+	if text == "" {
+		after = time.Hour
+	}
+	select {
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-time.After(after):
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text))}, nil
+}
+
+// What a silent watch misses counts as told 6 s after the silence began, or 2 s after the end of its wait if that is
+// later; the drain below is one. The node must have heard of it by then, whichever way lists come. A watch that is only
+// late has no second call beside it.
+func TestSilentWatchIsAskedAnew(t *testing.T) {
+	const drained = `{"revision":9,"complete":false,"members":[{"id":"s","host_port":"127.0.0.1:1","phase":"draining"}]}`
+	first := listText(7, true, listed{"s", "127.0.0.1:1", "ready", 0})
+	for name, tc := range map[string]struct {
+		asks   bool          // lists come when they are asked for
+		late   time.Duration // of the watch's answer, past its wait; 0: never
+		told   time.Duration // from the watch's start, when its silence began
+		beside int           // calls beside the watch
+	}{
+		"pushed, silent": {told: 6 * time.Second, beside: 1},
+		"asked, silent":  {asks: true, told: longWait + 2*time.Second, beside: 1},
+		"pushed, late":   {late: silentAfter - time.Millisecond},
+		"asked, late":    {asks: true, late: silentAfter - time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				names, err := settings.Parse([]byte(testSettings))
+				if err != nil {
+					t.Fatal(err)
+				}
+				names.Config.AskDiscovery = tc.asks
+				var heard time.Duration
+				var start time.Time
+				d := newDiscovery("127.0.0.1:1", nil, names, quiet(), func(l List) {
+					if len(l.Members) == 1 && l.Members[0].Phase == balance.Draining && heard == 0 {
+						heard = time.Since(start)
+					}
+				}, func() {})
+				disco := &scripted{}
+				disco.answer = func(call int, query string) (time.Duration, string) {
+					switch {
+					case call == 0:
+						return 0, first
+					case call == 1:
+						start = time.Now()
+						if tc.late > 0 {
+							return d.wait + tc.late, drained
+						}
+						return 0, ""
+					case strings.HasSuffix(query, "wait_ms=0"):
+						return 100 * time.Millisecond, drained
+					}
+					return 0, ""
+				}
+				d.http = &http.Client{Transport: disco}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { d.run(ctx); close(done) }()
+				if tc.asks {
+					d.asked <- balance.Watch
+				}
+				time.Sleep(longWait + 4*time.Second)
+				cancel()
+				<-done
+				beside := 0
+				for _, q := range disco.asked {
+					if q == "after=7&wait_ms=0" {
+						beside++
+					}
+				}
+				if heard == 0 || tc.late == 0 && heard > tc.told || beside != tc.beside {
+					t.Errorf("heard of the drain after %v, want %v at most; %d calls beside the watch, want %d: %q",
+						heard, tc.told, beside, tc.beside, disco.asked)
+				}
+			})
+		})
+	}
+}
+
+// A discovery that is silent altogether is lost, and said to be, once for the watch and the call beside it.
+func TestSilentDiscoveryIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names, _ := settings.Parse([]byte(testSettings))
+		d := newDiscovery("127.0.0.1:1", nil, names, quiet(), func(List) {}, func() {})
+		d.http = &http.Client{Transport: &scripted{answer: func(int, string) (time.Duration, string) { return 0, "" }}}
+		start := time.Now()
+		_, err := d.watch(t.Context(), "http://127.0.0.1:1/", "?after=1&wait_ms=2000")
+		if spent := time.Since(start); !errors.Is(err, context.DeadlineExceeded) || spent != d.wait+silentAfter+callSlack {
+			t.Errorf("%v after %v", err, spent)
+		}
+	})
+}
+
+// A list that is pushed counts as told from the first moment of a new process: it is not ready on the one that it was
+// started with, but once it has read what the agent has, which it asks for without waiting. An agent that does not answer
+// keeps it away for a while only.
+func TestNewProcessReadsThePushedListFirst(t *testing.T) {
+	known := listText(1, true, listed{"s", "127.0.0.1:9", "ready", 0})
+	for _, answers := range []bool{true, false} {
+		release, asked := make(chan struct{}), make(chan string, 64)
+		b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+			asked <- r.URL.RawQuery
+			<-release
+			return ok200(listText(2, false, listed{"s", "127.0.0.1:9", "draining", 0}, listed{"u", "127.0.0.1:9", "ready", 0}))
+		}))
+		n, err := New(testConfig(t, b.Addr().String(), known), quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.firstList = time.Hour; !answers {
+			n.firstList = time.Millisecond
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { n.Run(ctx); close(done) }()
+		if first := receive(t, "the first call", asked); first != "after=1&wait_ms=0" {
+			t.Errorf("the first call asks for %q", first)
+		}
+		if n.loop.ready.Load() && answers {
+			t.Error("ready before the agent's list was read")
+		}
+		if answers {
+			close(release)
+		}
+		eventually(t, "readiness", n.loop.ready.Load)
+		if !answers {
+			close(release)
+		}
+		cancel()
+		<-done
+	}
+}
