--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"slices"
@@ -63,6 +65,22 @@
 	})
 }
 
+// A list may come indented, and may be spread over any white space.
+func TestListsMayComeIndented(t *testing.T) {
+	names, err := settings.Parse([]byte(testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(listText(41, true, listed{"s", "127.0.0.1:1", "ready", 5})), "\r\n", "\t"); err != nil {
+		t.Fatal(err)
+	}
+	l, err := parseList(indented.Bytes(), names)
+	if err != nil || l.Revision != 41 || !l.Complete || len(l.Members) != 1 || l.Members[0].Launched != 5*time.Millisecond {
+		t.Fatalf("%v: %+v", err, l)
+	}
+}
+
 // A malformed list leaves the last good one in place; the whole list is read again.
 func TestMalformedListIsDropped(t *testing.T) {
 	for name, text := range map[string]string{
