--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,7 +61,7 @@
 	partFirst, partLeast, partMost = 0.3, 0.12, 1.0
 	// idleEntry: a server whose entry is no higher is idle. An answer that met freeEntry or less tells the
 	// time without a queue, by baseWeight.
-	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
+	idleEntry, freeEntry, baseWeight, hintMost = 0.1, 1.0, 0.03, 2.0
 	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
 	fallWeight, riseWeight = 0.3, 0.01
 	// All nodes share one discovery, and a fleet that starts or is refused together calls it together. So
@@ -735,14 +735,15 @@
 // learnBase takes in the time of an answer that met no queue. Crowded servers drain under early refusal
 // and then show that they are quick, slow ones that they are slow: nothing else tells the two apart. Until
 // one is met, the hint stands for it: a node that starts among queues must not take them for the work.
+// Entries are old in a large fleet: an answer that took hintMost times its hint met a queue that none showed.
 func (b *Balancer) learnBase(r *request, a *attempt, spent float64) {
-	c, w := r.stats, baseWeight
-	switch {
-	case a.met > freeEntry && c.free > 0:
+	c, w, hint := r.stats, baseWeight, r.hint.Seconds()
+	switch met := a.met > freeEntry || hint > 0 && spent > hintMost*hint; {
+	case met && c.free > 0:
 		return
-	case a.met > freeEntry && r.hint > 0:
-		spent = r.hint.Seconds()
-	case a.met <= freeEntry:
+	case met && hint > 0:
+		spent = hint
+	case !met:
 		c.free++
 		w = max(w, 1/c.free)
 	}
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -658,6 +658,34 @@
 	}
 }
 
+// Entries are old in a large fleet, and a queue that none shows is met all the same: an answer that took many times its
+// hint must not pass for the work, or the bound on waits grows with the queue until servers jam. A server that is
+// slower than the hint says still counts, and so does any answer without a hint.
+func TestAnswersFarBeyondTheirHintMetAQueue(t *testing.T) {
+	for name, tc := range map[string]struct {
+		hint, spent time.Duration
+		want        float64 // time without a queue after 200 such answers, seconds
+	}{
+		"as hinted":          {hint: 20 * ms, spent: 25 * ms, want: 0.025},
+		"a slow server":      {hint: 20 * ms, spent: 38 * ms, want: 0.038},
+		"out of a queue":     {hint: 20 * ms, spent: 150 * ms, want: 0.020},
+		"slow, without hint": {spent: 150 * ms, want: 0.150},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, site(), member(1, 0, 0))
+			for i := range 200 {
+				r.wait(time.Second)
+				id := fmt.Sprint(i)
+				r.do(Event{Kind: RequestArrived, Request: id, Hint: tc.hint, Budget: time.Second})
+				r.do(Event{Kind: Outcome, Request: id, Backend: 1, Spent: tc.spent, NoMore: true})
+			}
+			if base := r.b.classes[safe].base; math.Abs(base-tc.want) > 0.1*tc.want {
+				t.Errorf("time without a queue %.4f s, want %.4f", base, tc.want)
+			}
+		})
+	}
+}
+
 // A class whose aim is no longer than its work leaves itself no time to queue, but not the others.
 func TestOneTightClassDoesNotRefuseAll(t *testing.T) {
 	cfg := site()
