Split the registry's state into machines behind one interface; errors with remedies

Need: each new kind of record would have grown one switch in State.Apply, and an error told what failed but not what to do.

The log's JSON is as before. A lease or member gone, held or fenced answers as before; a member changed since is now 409 (no call could reach it).

--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -11,6 +11,9 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"glencart/internal/machine"
+	"glencart/internal/problem"
 )
 
 // bodyMost bounds a write's body, as PROTOCOL bounds bodies.
@@ -32,20 +35,21 @@
 //	POST   /registry/members/{id}/heartbeat       keep its TTL
 //	GET    /registry/status                       this replica's role, leader and revision
 //
-// Writes answer 200 {"revision":R} once applied; 400 {"error":...} for bad input, changing nothing; 404 for an
-// unknown id; 503 where no leader can take it. Over max_calls at once, calls get 503 at once.
+// Writes answer 200 {"revision":R} once applied; else {"code":...,"error":...,"remedy":...}: 400 for bad input, changing
+// nothing; 404 for an unknown id; 409 where the state forbids it; 503 where no leader can take it. Over max_calls at
+// once, calls get 503 at once.
 func (r *Replica) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", r.serveList)
-	mux.HandleFunc("POST /registry/members", r.writeHandler(r.register))
-	mux.HandleFunc("PUT /registry/members/{id}/phase", r.writeHandler(r.phase))
-	mux.HandleFunc("DELETE /registry/members/{id}", r.writeHandler(r.deregister))
+	mux.HandleFunc("POST /registry/members", r.writeHandler("", r.register))
+	mux.HandleFunc("PUT /registry/members/{id}/phase", r.writeHandler("", r.phase))
+	mux.HandleFunc("DELETE /registry/members/{id}", r.writeHandler("", r.deregister))
 	mux.HandleFunc("POST /registry/members/{id}/heartbeat", r.serveHeartbeat)
 	mux.HandleFunc("GET /registry/status", r.serveStatus)
 	mux.Handle("GET /metrics", r.metrics.handler())
 	mux.HandleFunc("GET /registry/leases", r.serveLeases)
-	mux.HandleFunc("POST /registry/leases/{name}/acquire", r.writeHandler(r.acquire))
-	mux.HandleFunc("POST /registry/leases/{name}/release", r.writeHandler(r.release))
+	mux.HandleFunc("POST /registry/leases/{name}/acquire", r.writeHandler("lease", r.acquire))
+	mux.HandleFunc("POST /registry/leases/{name}/release", r.writeHandler("lease", r.release))
 	mux.HandleFunc("POST /registry/leases/{name}/renew", r.serveRenew)
 	calls := make(chan struct{}, r.cfg.MaxCalls)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -56,7 +60,7 @@
 		default:
 			r.metrics.shed.Inc()
 			w.Header().Set("Retry-After", "1")
-			fail(w, http.StatusServiceUnavailable, errors.New("too many calls"))
+			fail(w, ErrBusy)
 		}
 	})
 }
@@ -79,10 +83,17 @@
 	return nil
 }
 
-func fail(w http.ResponseWriter, code int, err error) {
+// fail answers with an error: its code, what failed and on what, and what an operator can do. An error that has no code
+// is one of the input.
+func fail(w http.ResponseWriter, err error) {
+	d, ok := problem.Find(err)
+	if !ok {
+		d = ErrMalformed.Of("", err)
+	}
+	e, _ := d.Describe()
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+	w.WriteHeader(e.Status)
+	json.NewEncoder(w).Encode(map[string]string{"code": e.Code, "error": err.Error(), "remedy": e.Remedy})
 }
 
 // roleHeader tells which replica served a read: "leader" (linearizable) or "follower" (as fresh as stale_read).
@@ -105,7 +116,7 @@
 	q := req.URL.Query()
 	if !q.Has("after") {
 		if !r.fresh() {
-			fail(w, http.StatusServiceUnavailable, errors.New("this replica has not heard from a leader lately"))
+			fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
 			return
 		}
 		var l List
@@ -117,17 +128,17 @@
 	}
 	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
 	if err != nil {
-		fail(w, http.StatusBadRequest, fmt.Errorf("after: %q is not a revision", q.Get("after")))
+		fail(w, ErrMalformed.Of("after", fmt.Errorf("%q is not a revision", q.Get("after"))))
 		return
 	}
 	waitMs, err := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
 	if err != nil || waitMs < 0 {
-		fail(w, http.StatusBadRequest, fmt.Errorf("wait_ms: %q is not a number of milliseconds", q.Get("wait_ms")))
+		fail(w, ErrMalformed.Of("wait_ms", fmt.Errorf("%q is not a number of milliseconds", q.Get("wait_ms"))))
 		return
 	}
 	l, ok := r.watch(req.Context(), after, min(time.Duration(waitMs)*time.Millisecond, maxWait))
 	if !ok {
-		fail(w, http.StatusServiceUnavailable, errors.New("this replica has not heard from a leader lately"))
+		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
 		return
 	}
 	answer(w, l)
@@ -157,8 +168,9 @@
 	}
 }
 
-// writeHandler decodes a write and commits it on the leader, or passes it to the leader.
-func (r *Replica) writeHandler(decode func(*http.Request) (Command, error)) http.HandlerFunc {
+// writeHandler decodes a write and commits it on the leader, or passes it to the leader. It answers with the revision
+// and, where the machine gives one, its value under the given name.
+func (r *Replica) writeHandler(value string, decode func(*http.Request) (machine.Command, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		if !r.Leader() {
 			r.forward(w, req)
@@ -167,38 +179,27 @@
 		begun := time.Now()
 		req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
 		c, err := decode(req)
-		if err == nil {
-			c.Fence, err = parseFence(req)
-		}
 		if err != nil {
 			r.metrics.wrote(begun, "refused")
-			fail(w, http.StatusBadRequest, err)
+			fail(w, err)
 			return
 		}
 		res, err := r.Write(c)
-		result := "failed"
 		switch {
-		case errors.Is(err, ErrNotLeader):
-			fail(w, http.StatusServiceUnavailable, err)
 		case err != nil:
-			fail(w, http.StatusServiceUnavailable, fmt.Errorf("not committed: %w", err))
-		case errors.Is(res.Err, ErrUnknown):
-			result = "refused"
-			fail(w, http.StatusNotFound, res.Err)
-		case errors.Is(res.Err, ErrHeld), errors.Is(res.Err, ErrLost), errors.Is(res.Err, ErrFenced):
-			result = "refused"
-			fail(w, http.StatusConflict, res.Err)
+			r.metrics.wrote(begun, "failed")
+			fail(w, err)
 		case res.Err != nil:
-			result = "refused"
-			fail(w, http.StatusBadRequest, res.Err)
-		case c.Op == "acquire" || c.Op == "release":
-			result = "ok"
-			answer(w, map[string]any{"revision": res.Revision, "lease": res.Lease})
+			r.metrics.wrote(begun, "refused")
+			fail(w, res.Err)
 		default:
-			result = "ok"
-			answer(w, map[string]int64{"revision": res.Revision})
+			r.metrics.wrote(begun, "ok")
+			text := map[string]any{"revision": res.Revision}
+			if value != "" {
+				text[value] = res.Value
+			}
+			answer(w, text)
 		}
-		r.metrics.wrote(begun, result)
 	}
 }
 
@@ -207,12 +208,12 @@
 	leader := r.leaderHTTP()
 	if leader == "" || req.Header.Get(forwardedHeader) != "" {
 		w.Header().Set("Retry-After", "1")
-		fail(w, http.StatusServiceUnavailable, fmt.Errorf("%w; leader at %q", ErrNotLeader, leader))
+		fail(w, ErrNotLeader.Of(r.cfg.ID, fmt.Errorf("leader at %q", leader)))
 		return
 	}
 	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: leader})
 	p.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, err error) {
-		fail(w, http.StatusServiceUnavailable, fmt.Errorf("leader at %s: %w", leader, err))
+		fail(w, ErrNotLeader.Of(r.cfg.ID, fmt.Errorf("leader at %s: %w", leader, err)))
 	}
 	req.Header.Set(forwardedHeader, r.cfg.ID)
 	p.ServeHTTP(w, req)
@@ -224,51 +225,58 @@
 	if err := dec.Decode(v); err != nil {
 		var tooBig *http.MaxBytesError
 		if errors.As(err, &tooBig) {
-			return fmt.Errorf("body over %d bytes", bodyMost)
+			return ErrMalformed.Of("body", fmt.Errorf("over %d bytes", bodyMost))
 		}
-		return fmt.Errorf("body: %w", err)
+		return ErrMalformed.Of("body", err)
 	}
 	return nil
 }
 
-func (r *Replica) register(req *http.Request) (Command, error) {
+// fenced adds the fence that a write of the list carries, if any.
+func fenced(req *http.Request, c *MemberCommand) (machine.Command, error) {
+	var err error
+	c.Fence, err = parseFence(req)
+	return c, err
+}
+
+func (r *Replica) register(req *http.Request) (machine.Command, error) {
 	var b struct {
 		Member Member `json:"member"`
 		TTLms  int64  `json:"ttl_ms"`
 	}
 	if err := decodeBody(req, &b); err != nil {
-		return Command{}, err
+		return nil, err
 	}
 	if b.Member.Phase == "" {
 		b.Member.Phase = Ready
 	}
 	if b.TTLms < 0 {
-		return Command{}, errors.New("ttl_ms: negative")
+		return nil, ErrMalformed.Of("ttl_ms", errors.New("negative"))
 	}
 	if b.TTLms == 0 {
 		b.TTLms = r.cfg.DefaultTTL.Milliseconds()
 	}
 	if err := b.Member.Validate(); err != nil {
-		return Command{}, err
+		return nil, err
 	}
-	return Command{Op: "register", Member: b.Member, TTLms: b.TTLms}, nil
+	return fenced(req, &MemberCommand{Op: "register", Member: b.Member, TTLms: b.TTLms})
 }
 
-func (r *Replica) phase(req *http.Request) (Command, error) {
+func (r *Replica) phase(req *http.Request) (machine.Command, error) {
 	var b struct {
 		Phase string `json:"phase"`
 	}
 	if err := decodeBody(req, &b); err != nil {
-		return Command{}, err
+		return nil, err
 	}
-	if b.Phase != Ready && b.Phase != Draining {
-		return Command{}, fmt.Errorf("phase %q is neither ready nor draining", b.Phase)
+	if err := checkPhase(b.Phase); err != nil {
+		return nil, err
 	}
-	return Command{Op: "phase", ID: req.PathValue("id"), Phase: b.Phase}, nil
+	return fenced(req, &MemberCommand{Op: "phase", ID: req.PathValue("id"), Phase: b.Phase})
 }
 
-func (r *Replica) deregister(req *http.Request) (Command, error) {
-	return Command{Op: "deregister", ID: req.PathValue("id")}, nil
+func (r *Replica) deregister(req *http.Request) (machine.Command, error) {
+	return fenced(req, &MemberCommand{Op: "deregister", ID: req.PathValue("id")})
 }
 
 func (r *Replica) serveHeartbeat(w http.ResponseWriter, req *http.Request) {
@@ -276,14 +284,11 @@
 		r.forward(w, req)
 		return
 	}
-	switch err := r.Heartbeat(req.PathValue("id")); {
-	case errors.Is(err, ErrUnknown):
-		fail(w, http.StatusNotFound, err)
-	case err != nil:
-		fail(w, http.StatusServiceUnavailable, err)
-	default:
-		w.WriteHeader(http.StatusNoContent)
+	if err := r.Heartbeat(req.PathValue("id")); err != nil {
+		fail(w, err)
+		return
 	}
+	w.WriteHeader(http.StatusNoContent)
 }
 
 // Status is what /registry/status tells.
--- a/internal/registry/lease.go
+++ b/internal/registry/lease.go
@@ -1,8 +1,10 @@
 package registry
 
 import (
+	"encoding/json"
 	"errors"
-	"fmt"
+
+	"glencart/internal/machine"
 )
 
 // Lease is a duty that one holder has at a time (Chubby's locks with sequencers; etcd's leases). Token is the
@@ -20,48 +22,75 @@
 	Token uint64 `json:"token"`
 }
 
-// Errors of lease commands and fenced writes; each changes nothing.
-var (
-	ErrHeld   = errors.New("lease held by another")
-	ErrLost   = errors.New("lease not held with that token")
-	ErrFenced = errors.New("fencing token lower than one already accepted")
-)
+// LeaseCommand is a write of the leases: acquire, release or lease-expire (by token).
+type LeaseCommand struct {
+	Op    string `json:"op"`
+	Lease Lease  `json:"lease"`
+}
 
-// leases is the part of State that holds leases: by name, the token counter, and for each lease the highest
-// token that a fenced write carried and that was accepted.
+// Operation is the command's operation.
+func (c *LeaseCommand) Operation() string { return c.Op }
+
+// leases is the machine of the leases: by name, the token counter, and for each lease the highest token that a fenced
+// write carried and that was accepted.
 type leases struct {
 	Leases map[string]Lease  `json:"leases"`
 	Tokens uint64            `json:"tokens"`
 	Fenced map[string]uint64 `json:"fenced"`
 }
 
-// applyLease carries out acquire, release and expire. Acquire by the holder that has it gives the same token.
-func (s *State) applyLease(c Command) Result {
-	s.ensureLeases()
+func newLeases() *leases {
+	return &leases{Leases: map[string]Lease{}, Fenced: map[string]uint64{}}
+}
+
+func (s *leases) Kind() string { return "leases" }
+
+func (s *leases) Commands() map[string]func() machine.Command {
+	empty := func() machine.Command { return &LeaseCommand{} }
+	return map[string]func() machine.Command{"acquire": empty, "release": empty, "lease-expire": empty}
+}
+
+// Apply carries out acquire, release and expire. Acquire by the holder that has it gives the same token.
+func (s *leases) Apply(cmd machine.Command, _ int64) (machine.Outcome, error) {
+	c := cmd.(*LeaseCommand)
 	l, held := s.Leases[c.Lease.Name]
-	switch c.Op {
-	case "acquire":
-		switch {
-		case c.Lease.Name == "" || c.Lease.Holder == "":
-			return Result{Revision: s.Revision, Err: errors.New("lease: missing name or holder")}
-		case c.Lease.TTLms <= 0:
-			return Result{Revision: s.Revision, Err: fmt.Errorf("lease %s: ttl_ms must be above 0", c.Lease.Name)}
-		case held && l.Holder != c.Lease.Holder:
-			return Result{Revision: s.Revision, Err: ErrHeld}
-		case held:
-			return Result{Revision: s.Revision, Lease: l}
-		}
-		s.Tokens++
-		l = Lease{Name: c.Lease.Name, Holder: c.Lease.Holder, Token: s.Tokens, TTLms: c.Lease.TTLms}
-		s.Leases[l.Name] = l
-	case "release", "expire":
+	if c.Op != "acquire" {
 		if !held || l.Token != c.Lease.Token || (c.Op == "release" && l.Holder != c.Lease.Holder) {
-			return Result{Revision: s.Revision, Err: ErrLost}
+			return machine.Outcome{}, ErrLost.Of(c.Lease.Name, nil)
 		}
 		delete(s.Leases, l.Name)
+		return machine.Outcome{Value: l}, nil
 	}
-	s.Revision++
-	return Result{Revision: s.Revision, Lease: l}
+	switch {
+	case c.Lease.Name == "" || c.Lease.Holder == "":
+		return machine.Outcome{}, ErrMalformed.Of("lease", errors.New("missing name or holder"))
+	case c.Lease.TTLms <= 0:
+		return machine.Outcome{}, ErrMalformed.Of("lease "+c.Lease.Name, errors.New("ttl_ms must be above 0"))
+	case held && l.Holder != c.Lease.Holder:
+		return machine.Outcome{}, ErrHeld.Of(c.Lease.Name, nil)
+	case held:
+		return machine.Outcome{Same: true, Value: l}, nil
+	}
+	s.Tokens++
+	l = Lease{Name: c.Lease.Name, Holder: c.Lease.Holder, Token: s.Tokens, TTLms: c.Lease.TTLms}
+	s.Leases[l.Name] = l
+	return machine.Outcome{Value: l}, nil
+}
+
+// Encode writes the leases.
+func (s *leases) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Decode takes the leases of a snapshot.
+func (s *leases) Decode(text []byte, _ int64) error {
+	n := newLeases()
+	if err := json.Unmarshal(text, n); err != nil {
+		return err
+	}
+	if n.Leases == nil || n.Fenced == nil { // version 0 wrote null before the first lease
+		n.Leases, n.Fenced = map[string]Lease{}, map[string]uint64{}
+	}
+	*s = *n
+	return nil
 }
 
 // plantUnfenced, set at build time (-ldflags -X glencart/internal/registry.plantUnfenced=1), removes the fence
@@ -69,20 +98,13 @@
 var plantUnfenced string
 
 // fence checks a fenced write and records its token; nil where there is no fence.
-func (s *State) fence(f *Fence) error {
+func (s *leases) fence(f *Fence) error {
 	if f == nil || plantUnfenced != "" {
 		return nil
 	}
-	s.ensureLeases()
 	if f.Token < s.Fenced[f.Lease] {
-		return ErrFenced
+		return ErrFenced.Of(f.Lease, nil)
 	}
 	s.Fenced[f.Lease] = f.Token
 	return nil
 }
-
-func (s *State) ensureLeases() {
-	if s.Leases == nil {
-		s.Leases, s.Fenced = map[string]Lease{}, map[string]uint64{}
-	}
-}
--- a/internal/registry/lease_http.go
+++ b/internal/registry/lease_http.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"glencart/internal/machine"
 )
 
 // fenceHeader carries a write's fence as LEASE:TOKEN; the write is refused (409) below the highest token accepted.
@@ -28,37 +30,37 @@
 	name, token, ok := strings.Cut(v, ":")
 	t, err := strconv.ParseUint(token, 10, 64)
 	if !ok || name == "" || err != nil {
-		return nil, fmt.Errorf("%s: %q is not LEASE:TOKEN", fenceHeader, v)
+		return nil, ErrMalformed.Of(fenceHeader, fmt.Errorf("%q is not LEASE:TOKEN", v))
 	}
 	return &Fence{Lease: name, Token: t}, nil
 }
 
-func (r *Replica) acquire(req *http.Request) (Command, error) {
+func (r *Replica) acquire(req *http.Request) (machine.Command, error) {
 	var b struct {
 		Holder string `json:"holder"`
 		TTLms  int64  `json:"ttl_ms"`
 	}
 	if err := decodeBody(req, &b); err != nil {
-		return Command{}, err
+		return nil, err
 	}
 	if b.Holder == "" {
-		return Command{}, errors.New("holder: missing")
+		return nil, ErrMalformed.Of("holder", errors.New("missing"))
 	}
 	if ttl := time.Duration(b.TTLms) * time.Millisecond; ttl < r.leastTTL() {
-		return Command{}, fmt.Errorf("ttl_ms: %d is shorter than two election timeouts (%s)", b.TTLms, r.leastTTL())
+		return nil, ErrMalformed.Of("ttl_ms", fmt.Errorf("%d is shorter than two election timeouts (%s)", b.TTLms, r.leastTTL()))
 	}
-	return Command{Op: "acquire", Lease: Lease{Name: req.PathValue("name"), Holder: b.Holder, TTLms: b.TTLms}}, nil
+	return &LeaseCommand{Op: "acquire", Lease: Lease{Name: req.PathValue("name"), Holder: b.Holder, TTLms: b.TTLms}}, nil
 }
 
-func (r *Replica) release(req *http.Request) (Command, error) {
+func (r *Replica) release(req *http.Request) (machine.Command, error) {
 	var b struct {
 		Holder string `json:"holder"`
 		Token  uint64 `json:"token"`
 	}
 	if err := decodeBody(req, &b); err != nil {
-		return Command{}, err
+		return nil, err
 	}
-	return Command{Op: "release", Lease: Lease{Name: req.PathValue("name"), Holder: b.Holder, Token: b.Token}}, nil
+	return &LeaseCommand{Op: "release", Lease: Lease{Name: req.PathValue("name"), Holder: b.Holder, Token: b.Token}}, nil
 }
 
 // serveRenew keeps a lease on the leader's clock: 204 while the holder has it with that token, 409 once not.
@@ -73,7 +75,7 @@
 	}
 	req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
 	if err := decodeBody(req, &b); err != nil {
-		fail(w, http.StatusBadRequest, err)
+		fail(w, err)
 		return
 	}
 	name := req.PathValue("name")
@@ -81,7 +83,7 @@
 	var held bool
 	r.fsm.read(func(s *State) { l, held = s.Leases[name] })
 	if !held || l.Holder != b.Holder || l.Token != b.Token {
-		fail(w, http.StatusConflict, ErrLost)
+		fail(w, ErrLost.Of(name, nil))
 		return
 	}
 	r.beat(leaseKey(name))
@@ -105,8 +107,8 @@
 }
 
 // dueLeases gives the expiry commands of leases whose renewals stopped for their TTL; called with beatMu held.
-func (r *Replica) dueLeases(s *State, now time.Time) []Command {
-	var due []Command
+func (r *Replica) dueLeases(s *State, now time.Time) []machine.Command {
+	var due []machine.Command
 	for name, l := range s.Leases {
 		last, ok := r.beats[leaseKey(name)]
 		if !ok {
@@ -114,7 +116,7 @@
 			continue
 		}
 		if now.Sub(last) > time.Duration(l.TTLms)*time.Millisecond {
-			due = append(due, Command{Op: "lease-expire", Lease: Lease{Name: name, Token: l.Token}})
+			due = append(due, &LeaseCommand{Op: "lease-expire", Lease: Lease{Name: name, Token: l.Token}})
 		}
 	}
 	return due
--- a/internal/registry/lease_test.go
+++ b/internal/registry/lease_test.go
@@ -27,11 +27,11 @@
 		issued := map[uint64]bool{}
 		name := rapid.SampledFrom([]string{"release-controller", "reaper"})
 		holder := rapid.SampledFrom([]string{"p1", "p2", "p3"})
-		s.Apply(Command{Op: "register", Member: Member{ID: "m", HostPort: "127.0.0.1:1", Phase: Ready}})
+		s.Apply(&MemberCommand{Op: "register", Member: Member{ID: "m", HostPort: "127.0.0.1:1", Phase: Ready}})
 		t.Repeat(map[string]func(*rapid.T){
 			"acquire": func(t *rapid.T) {
 				n, h := name.Draw(t, "name"), holder.Draw(t, "holder")
-				r := s.Apply(Command{Op: "acquire", Lease: Lease{Name: n, Holder: h, TTLms: 1000}})
+				r := s.Apply(&LeaseCommand{Op: "acquire", Lease: Lease{Name: n, Holder: h, TTLms: 1000}})
 				l, ok := m.held[n]
 				switch {
 				case ok && l.Holder != h:
@@ -39,23 +39,23 @@
 						t.Fatalf("acquire of a held lease: %+v", r)
 					}
 				case ok:
-					if r.Err != nil || r.Lease.Token != l.Token {
+					if r.Err != nil || lease(r).Token != l.Token {
 						t.Fatalf("acquire again by its holder: %+v, want token %d", r, l.Token)
 					}
 				default:
 					m.tokens++
-					if r.Err != nil || r.Lease.Token != m.tokens || issued[r.Lease.Token] {
+					if r.Err != nil || lease(r).Token != m.tokens || issued[lease(r).Token] {
 						t.Fatalf("grant: %+v, want token %d", r, m.tokens)
 					}
-					issued[r.Lease.Token] = true
-					m.held[n] = r.Lease
+					issued[lease(r).Token] = true
+					m.held[n] = lease(r)
 				}
 			},
 			"release or expire": func(t *rapid.T) {
 				n, h := name.Draw(t, "name"), holder.Draw(t, "holder")
 				token := rapid.Uint64Range(0, m.tokens+1).Draw(t, "token")
 				op := rapid.SampledFrom([]string{"release", "lease-expire"}).Draw(t, "op")
-				r := s.Apply(Command{Op: op, Lease: Lease{Name: n, Holder: h, Token: token}})
+				r := s.Apply(&LeaseCommand{Op: op, Lease: Lease{Name: n, Holder: h, Token: token}})
 				l, ok := m.held[n]
 				if ok && l.Token == token && (op == "lease-expire" || l.Holder == h) {
 					if r.Err != nil {
@@ -69,7 +69,7 @@
 			"fenced write": func(t *rapid.T) {
 				n := name.Draw(t, "name")
 				token := rapid.Uint64Range(0, m.tokens).Draw(t, "token")
-				r := s.Apply(Command{Op: "phase", ID: "m", Phase: Draining, Fence: &Fence{Lease: n, Token: token}})
+				r := s.Apply(&MemberCommand{Op: "phase", ID: "m", Phase: Draining, Fence: &Fence{Lease: n, Token: token}})
 				if token < m.fenced[n] {
 					if !errors.Is(r.Err, ErrFenced) {
 						t.Fatalf("token %d below %d accepted: %+v", token, m.fenced[n], r)
@@ -171,3 +171,9 @@
 		t.Fatalf("after a leader change: %d after %s", code, waited)
 	}
 }
+
+// lease is the lease that a command's result gives; none where it failed.
+func lease(r Result) Lease {
+	l, _ := r.Value.(Lease)
+	return l
+}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"glencart/internal/machine"
 )
 
 // A watch from a revision that the ring still holds gets each changed member once, as it is now, removals as
@@ -18,9 +21,9 @@
 func TestSinceGivesChangesOrTheWholeList(t *testing.T) {
 	s := NewState(16)
 	m := func(id string) Member { return Member{ID: id, HostPort: "127.0.0.1:1", Phase: Ready, Size: 1} }
-	for _, c := range []Command{
-		{Op: "register", Member: m("a")}, {Op: "register", Member: m("b")}, {Op: "register", Member: m("c")},
-		{Op: "phase", ID: "a", Phase: Draining}, {Op: "deregister", ID: "b"},
+	for _, c := range []machine.Command{
+		&MemberCommand{Op: "register", Member: m("a")}, &MemberCommand{Op: "register", Member: m("b")}, &MemberCommand{Op: "register", Member: m("c")},
+		&MemberCommand{Op: "phase", ID: "a", Phase: Draining}, &MemberCommand{Op: "deregister", ID: "b"},
 	} {
 		if r := s.Apply(c); r.Err != nil {
 			t.Fatal(r.Err)
@@ -32,13 +35,13 @@
 		t.Fatalf("since 3: %+v", got)
 	}
 	for range 20 { // push revision 1 to 5 out of the ring
-		s.Apply(Command{Op: "phase", ID: "c", Phase: Draining})
-		s.Apply(Command{Op: "phase", ID: "c", Phase: Ready})
+		s.Apply(&MemberCommand{Op: "phase", ID: "c", Phase: Draining})
+		s.Apply(&MemberCommand{Op: "phase", ID: "c", Phase: Ready})
 	}
 	if w := s.Since(3); !w.Complete || len(w.Members) != 2 {
 		t.Fatalf("since a compacted revision: %+v", w)
 	}
-	if r := s.Apply(Command{Op: "phase", ID: "zz", Phase: Ready}); r.Err != ErrUnknown || r.Revision != s.Revision {
+	if r := s.Apply(&MemberCommand{Op: "phase", ID: "zz", Phase: Ready}); !errors.Is(r.Err, ErrUnknown) || r.Revision != s.Revision {
 		t.Fatalf("unknown member: %+v", r)
 	}
 }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -19,11 +19,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
-)
 
-// Errors of writes.
-var (
-	ErrNotLeader = errors.New("not the leader")
+	"glencart/internal/machine"
 )
 
 // applyWithin bounds how long a write waits to be committed and applied.
@@ -40,13 +37,13 @@
 	if l.Type != raft.LogCommand {
 		return nil
 	}
-	var c Command
-	if err := json.Unmarshal(l.Data, &c); err != nil {
-		// Written by a replica of ours, so never expected; refused the same on every replica.
-		return Result{Err: fmt.Errorf("log entry %d: %w", l.Index, err)}
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c, err := f.st.ParseCommand(l.Data)
+	if err != nil {
+		// Written by a replica of ours, so never expected; refused the same on every replica of one version.
+		return Result{Revision: f.st.Revision, Err: fmt.Errorf("log entry %d: %w", l.Index, err)}
+	}
 	r := f.st.Apply(c)
 	f.broadcast()
 	return r
@@ -262,13 +259,30 @@
 	return !last.IsZero() && time.Since(last) <= r.cfg.StaleRead.Duration
 }
 
+// beating is a command that starts a TTL on the leader's clock, under a key of its own; "" for none.
+type beating interface{ beats() string }
+
+func (c *MemberCommand) beats() string {
+	if c.Op == "register" {
+		return c.Member.ID
+	}
+	return ""
+}
+
+func (c *LeaseCommand) beats() string {
+	if c.Op == "acquire" {
+		return leaseKey(c.Lease.Name)
+	}
+	return ""
+}
+
 // Write commits one command through raft and gives its result once applied here. It fails with ErrNotLeader on
 // a follower; an error from raft means the write may or may not be committed later, as with any lost answer.
-func (r *Replica) Write(c Command) (Result, error) {
+func (r *Replica) Write(c machine.Command) (Result, error) {
 	if !r.Leader() {
-		return Result{}, ErrNotLeader
+		return Result{}, ErrNotLeader.Of(r.cfg.ID, nil)
 	}
-	text, err := json.Marshal(c)
+	text, err := EncodeCommand(c)
 	if err != nil {
 		return Result{}, err
 	}
@@ -278,17 +292,15 @@
 	}
 	if err := f.Error(); err != nil {
 		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) {
-			return Result{}, fmt.Errorf("%w: %v", ErrNotLeader, err)
+			return Result{}, ErrNotLeader.Of(r.cfg.ID, err)
 		}
-		return Result{}, err
+		return Result{}, ErrNotCommitted.Of("", err)
 	}
 	res, _ := f.Response().(Result)
-	switch {
-	case res.Err != nil:
-	case c.Op == "register":
-		r.beat(c.Member.ID)
-	case c.Op == "acquire":
-		r.beat(leaseKey(c.Lease.Name))
+	if b, ok := c.(beating); ok && res.Err == nil {
+		if key := b.beats(); key != "" {
+			r.beat(key)
+		}
 	}
 	return res, nil
 }
@@ -296,12 +308,12 @@
 // Heartbeat keeps a member's TTL; only the leader keeps them.
 func (r *Replica) Heartbeat(id string) error {
 	if !r.Leader() {
-		return ErrNotLeader
+		return ErrNotLeader.Of(r.cfg.ID, nil)
 	}
 	known := false
 	r.fsm.read(func(s *State) { _, known = s.Members[id] })
 	if !known {
-		return ErrUnknown
+		return ErrUnknown.Of(id, nil)
 	}
 	r.beat(id)
 	return nil
@@ -352,7 +364,7 @@
 
 func (r *Replica) expire() {
 	now := time.Now()
-	var due []Command
+	var due []machine.Command
 	r.fsm.read(func(s *State) {
 		r.beatMu.Lock()
 		defer r.beatMu.Unlock()
@@ -367,7 +379,7 @@
 				continue
 			}
 			if now.Sub(last) > ttl {
-				due = append(due, Command{Op: "expire", ID: id, Seen: e.Changed})
+				due = append(due, &MemberCommand{Op: "expire", ID: id, Seen: e.Changed})
 			}
 		}
 		due = append(due, r.dueLeases(s, now)...)
@@ -375,7 +387,7 @@
 	for _, c := range due {
 		res, err := r.Write(c)
 		if err == nil && res.Err == nil {
-			r.log.Info("expired", "member", c.ID, "lease", c.Lease.Name, "revision", res.Revision)
+			r.log.Info("expired", "command", c, "revision", res.Revision)
 		}
 	}
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -7,216 +7,129 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
-	"net/netip"
 	"slices"
-)
-
-// Member is one entry of the list, in PROTOCOL's form.
-type Member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
-}
 
-// Phases a member may be set to; "gone" appears only among changes.
-const (
-	Ready, Draining, Gone = "ready", "draining", "gone"
+	"glencart/internal/machine"
 )
 
-// Validate checks a member as a write would store it.
-func (m Member) Validate() error {
-	switch {
-	case m.ID == "":
-		return errors.New("member: missing id")
-	case len(m.ID) > 256:
-		return errors.New("member: id longer than 256 bytes")
-	case m.Phase != Ready && m.Phase != Draining:
-		return fmt.Errorf("member %s: phase %q is neither ready nor draining", m.ID, m.Phase)
-	case m.Size < 0:
-		return fmt.Errorf("member %s: negative size", m.ID)
-	case m.UpSince < 0:
-		return fmt.Errorf("member %s: negative up_since_ms", m.ID)
-	}
-	if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
-		return fmt.Errorf("member %s: host_port %q is not an address with a port", m.ID, m.HostPort)
-	}
-	return nil
-}
-
-// entry is a member as the state keeps it.
-type entry struct {
-	Member  Member `json:"member"`
-	TTLms   int64  `json:"ttl_ms"`  // 0: no TTL
-	Changed int64  `json:"changed"` // revision of its last change
-}
+// snapshotVersion is the form of the snapshots written. Version 0 had the members and the leases side by side; it is
+// read still.
+const snapshotVersion = 1
 
-// Command is one write, as it is put in the raft log.
-type Command struct {
-	Op     string `json:"op"` // register, phase, deregister, expire
-	Member Member `json:"member,omitzero"`
-	TTLms  int64  `json:"ttl_ms,omitempty"`
-	ID     string `json:"id,omitempty"`
-	Phase  string `json:"phase,omitempty"`
-	// Seen is, for expire, the revision of the member's last change that the leader saw: a member registered again
-	// since is not expired.
-	Seen int64 `json:"seen,omitempty"`
-	// Lease is the lease of acquire, release and expire (lease-expire by token).
-	Lease Lease `json:"lease,omitzero"`
-	// Fence, where set, makes a write of the list conditional on its token (see State.fence).
-	Fence *Fence `json:"fence,omitempty"`
+// State is the replicated state: machines, each of one kind of records, under one revision that every change raises by
+// one. It is deterministic: the same commands in the same order give the same state on every replica. Not safe for
+// concurrent use.
+type State struct {
+	Revision int64
+	*members
+	*leases
+	machines []machine.Machine
+	byOp     map[string]machine.Machine
 }
 
-// Result is what applying a command gives: the revision after it, or why nothing changed.
+// Result is what applying a command gives: the revision after it, what the machine answers, or why nothing changed.
 type Result struct {
 	Revision int64
 	Err      error
-	Lease    Lease // of a lease command
+	Value    any
 }
 
-// Errors of commands that change nothing.
-var (
-	ErrUnknown = errors.New("no such member")
-	ErrStale   = errors.New("member changed since")
-)
-
-// change is one entry of the ring of recent changes.
-type change struct {
-	Revision int64
-	Member   Member // as it was after the change; phase gone for a removal
-}
-
-// State is the list and its revision, with a ring of the recent changes for watches. It is deterministic: the
-// same commands in the same order give the same state on every replica. Not safe for concurrent use.
-type State struct {
-	Revision int64            `json:"revision"`
-	Members  map[string]entry `json:"members"`
-	leases
-	ring []change // a circular buffer of the last changes, the oldest at ring[head]; not in snapshots
-	head int
-	// floor is the revision before the oldest change the ring holds: a watch from below it gets the whole list.
-	floor int64
+// NewState is an empty state at revision 0 whose list has a ring of ringCap changes, with the machines of further kinds
+// beside the members and the leases.
+func NewState(ringCap int, more ...machine.Machine) *State {
+	l := newLeases()
+	s := &State{leases: l, members: newMembers(ringCap, l.fence), byOp: map[string]machine.Machine{}}
+	for _, m := range append([]machine.Machine{s.members, s.leases}, more...) {
+		s.machines = append(s.machines, m)
+		for op := range m.Commands() {
+			s.byOp[op] = m
+		}
+	}
+	return s
 }
 
-// NewState is an empty list at revision 0 with a ring of ringCap changes.
-func NewState(ringCap int) *State {
-	return &State{Members: map[string]entry{}, ring: make([]change, 0, max(ringCap, 1))}
-}
+// EncodeCommand is a command as the log holds it.
+func EncodeCommand(c machine.Command) ([]byte, error) { return json.Marshal(c) }
 
-// Apply carries out one command.
-func (s *State) Apply(c Command) Result {
-	switch c.Op {
-	case "acquire", "release", "lease-expire":
-		if c.Op == "lease-expire" {
-			c.Op = "expire"
-		}
-		return s.applyLease(c)
+// ParseCommand reads a command from the log.
+func (s *State) ParseCommand(text []byte) (machine.Command, error) {
+	var head struct {
+		Op string `json:"op"`
 	}
-	if err := s.fence(c.Fence); err != nil {
-		return Result{Revision: s.Revision, Err: err}
+	if err := json.Unmarshal(text, &head); err != nil {
+		return nil, fmt.Errorf("command: %w", err)
 	}
-	switch c.Op {
-	case "register":
-		if err := c.Member.Validate(); err != nil {
-			return Result{Revision: s.Revision, Err: err}
-		}
-		s.bump(c.Member)
-		s.Members[c.Member.ID] = entry{Member: c.Member, TTLms: c.TTLms, Changed: s.Revision}
-	case "phase":
-		e, ok := s.Members[c.ID]
-		if !ok {
-			return Result{Revision: s.Revision, Err: ErrUnknown}
-		}
-		if c.Phase != Ready && c.Phase != Draining {
-			return Result{Revision: s.Revision, Err: fmt.Errorf("phase %q is neither ready nor draining", c.Phase)}
-		}
-		e.Member.Phase = c.Phase
-		s.bump(e.Member)
-		e.Changed = s.Revision
-		s.Members[c.ID] = e
-	case "deregister", "expire":
-		e, ok := s.Members[c.ID]
-		if !ok {
-			return Result{Revision: s.Revision, Err: ErrUnknown}
-		}
-		if c.Op == "expire" && e.Changed != c.Seen {
-			return Result{Revision: s.Revision, Err: ErrStale}
-		}
-		e.Member.Phase = Gone
-		s.bump(e.Member)
-		delete(s.Members, c.ID)
-	default:
-		return Result{Revision: s.Revision, Err: fmt.Errorf("unknown operation %q", c.Op)}
+	m := s.byOp[head.Op]
+	if m == nil {
+		return nil, ErrOperation.Of(head.Op, nil)
+	}
+	c := m.Commands()[head.Op]()
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("command %s: %w", head.Op, err)
 	}
-	return Result{Revision: s.Revision}
+	return c, nil
 }
 
-// bump raises the revision and records the change in the ring.
-func (s *State) bump(m Member) {
-	s.Revision++
-	c := change{Revision: s.Revision, Member: m}
-	if len(s.ring) < cap(s.ring) {
-		s.ring = append(s.ring, c)
-		return
+// Apply carries out one command.
+func (s *State) Apply(c machine.Command) Result {
+	m := s.byOp[c.Operation()]
+	if m == nil {
+		return Result{Revision: s.Revision, Err: ErrOperation.Of(c.Operation(), nil)}
 	}
-	s.floor = s.ring[s.head].Revision
-	s.ring[s.head] = c
-	s.head = (s.head + 1) % len(s.ring)
+	out, err := m.Apply(c, s.Revision+1)
+	if err == nil && !out.Same {
+		s.Revision++
+	}
+	return Result{Revision: s.Revision, Err: err, Value: out.Value}
 }
 
-// List is an answer in PROTOCOL's form.
-type List struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []Member `json:"members"`
+// image is a snapshot of version 1.
+type image struct {
+	Version  int                        `json:"version"`
+	Revision int64                      `json:"revision"`
+	Machines map[string]json.RawMessage `json:"machines"`
 }
 
-// Whole is the whole list, by id.
-func (s *State) Whole() List {
-	l := List{Revision: s.Revision, Complete: true, Members: make([]Member, 0, len(s.Members))}
-	for _, id := range slices.Sorted(maps.Keys(s.Members)) {
-		l.Members = append(l.Members, s.Members[id].Member)
-	}
-	return l
-}
-
-// Since is what changed after revision r: each changed member once, as it is now (gone where removed). Where r
-// is older than the ring or newer than the list, it is the whole list: never a gap.
-func (s *State) Since(r int64) List {
-	if r < 1 || r < s.floor || r > s.Revision {
-		return s.Whole()
-	}
-	latest := map[string]Member{}
-	for i := range s.ring {
-		if c := s.ring[(s.head+i)%len(s.ring)]; c.Revision > r {
-			latest[c.Member.ID] = c.Member
+// Encode writes the state for a snapshot (JSON: version, revision, and each machine's part under its kind).
+func (s *State) Encode() ([]byte, error) {
+	n := image{Version: snapshotVersion, Revision: s.Revision, Machines: map[string]json.RawMessage{}}
+	for _, m := range s.machines {
+		text, err := m.Encode()
+		if err != nil {
+			return nil, fmt.Errorf("snapshot of %s: %w", m.Kind(), err)
 		}
+		n.Machines[m.Kind()] = text
 	}
-	l := List{Revision: s.Revision, Members: make([]Member, 0, len(latest))}
-	for _, id := range slices.Sorted(maps.Keys(latest)) {
-		l.Members = append(l.Members, latest[id])
-	}
-	return l
+	return json.Marshal(n)
 }
 
-// Encode writes the state for a snapshot (JSON: revision and members; the ring is not kept).
-func (s *State) Encode() ([]byte, error) { return json.Marshal(s) }
-
-// Decode replaces the state with a snapshot's. The ring starts empty at the snapshot's revision, so watches from
-// before it get the whole list.
+// Decode replaces the state with a snapshot's. A kind that the snapshot lacks starts empty; one that this program does
+// not know is refused, since dropping it would lose acknowledged writes, and so is a version newer than its own.
 func (s *State) Decode(text []byte) error {
-	var n State
+	var n image
 	if err := json.Unmarshal(text, &n); err != nil {
-		return fmt.Errorf("snapshot: %w", err)
+		return ErrSnapshot.Of("", err)
+	}
+	switch {
+	case n.Version > snapshotVersion:
+		return ErrSnapshot.Of("", fmt.Errorf("version %d, this program reads up to %d", n.Version, snapshotVersion))
+	case n.Version == 0: // members and leases side by side: each reads its own fields of the whole
+		n.Machines = map[string]json.RawMessage{s.members.Kind(): text, s.leases.Kind(): text}
 	}
-	if n.Members == nil {
-		n.Members = map[string]entry{}
+	for kind := range n.Machines {
+		if !slices.ContainsFunc(s.machines, func(m machine.Machine) bool { return m.Kind() == kind }) {
+			return ErrSnapshot.Of(kind, errors.New("records of a kind that this program does not know"))
+		}
+	}
+	for _, m := range s.machines {
+		part, ok := n.Machines[m.Kind()]
+		if !ok {
+			part = json.RawMessage("{}")
+		}
+		if err := m.Decode(part, n.Revision); err != nil {
+			return ErrSnapshot.Of(m.Kind(), err)
+		}
 	}
-	s.Revision, s.Members, s.leases, s.ring, s.head, s.floor = n.Revision, n.Members, n.leases, s.ring[:0], 0, n.Revision
+	s.Revision = n.Revision
 	return nil
 }
