--- /dev/null
+++ b/cmd/hitchvale/problems_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+
+	"glencart/internal/fleet"
+	"glencart/internal/problem"
+	"glencart/internal/registry"
+)
+
+// Every kind of error has a remedy and a row of its own in docs/oncall.md, and no row is left of one that is gone.
+func TestEveryErrorIsDocumented(t *testing.T) {
+	text, err := os.ReadFile("../../docs/oncall.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	seen := map[string]bool{}
+	for _, e := range slices.Concat(registry.Problems(), fleet.Problems()) {
+		if e.Remedy == "" || e.Means == "" || e.Status < 400 || seen[e.Code] {
+			t.Errorf("%+v: no remedy, no meaning, no status or no code of its own", e)
+		}
+		seen[e.Code] = true
+		want = append(want, row(e))
+	}
+	got := regexp.MustCompile("(?m)^\\| `[a-z]+\\.[a-z-]+` \\| [0-9]{3} \\|.*$").FindAllString(string(text), -1)
+	for _, r := range want {
+		if !slices.Contains(got, r) {
+			t.Errorf("docs/oncall.md lacks the row\n%s", r)
+		}
+	}
+	for _, r := range got {
+		if !slices.Contains(want, r) {
+			t.Errorf("docs/oncall.md has a row of no error:\n%s", r)
+		}
+	}
+}
+
+// row is an error's row of the table.
+func row(e problem.Entry) string {
+	return fmt.Sprintf("| `%s` | %d | %s | %s |", e.Code, e.Status, e.Means, e.Remedy)
+}
--- /dev/null
+++ b/internal/fleet/model_test.go
@@ -0,0 +1,438 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The fleet in one process, on virtual time: real agents, sessions and collector, with a registry between them whose
+// calls are lost, held up, answered to nobody, and whose leader changes; processes stall, crash and start again. All is
+// drawn from a seed.
+
+const modelInterval = time.Second
+
+// world is the registry of the model, and what is known of it from outside.
+type world struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	start     time.Time
+	sessions  *Sessions
+	revision  int64
+	term      uint64
+	collector *Collector // nil: no leader
+	view      View
+	next      chan struct{}
+	beats     map[string]time.Time
+	calm      bool // no more faults
+
+	made   map[string]time.Time // when a report was made, by node, incarnation and number
+	views  map[Stamp]string
+	faults []string
+	// trustArrival is a planted bug: a report counts as made when it arrives.
+	trustArrival bool
+	broken       []string
+}
+
+func newWorld(seed uint64) *world {
+	return &world{rng: rand.New(rand.NewPCG(seed, 21)), start: time.Now(), sessions: NewSessions(), term: 1,
+		collector: NewCollector(1, modelInterval), next: make(chan struct{}), beats: map[string]time.Time{},
+		made: map[string]time.Time{}, views: map[Stamp]string{}}
+}
+
+func reportKey(node string, incarnation, seq uint64) string {
+	return fmt.Sprintf("%s/%d/%d", node, incarnation, seq)
+}
+
+// row adds a line of the timeline.
+func (w *world) row(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%7.3f %s", time.Since(w.start).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// tick is a leader's round: expiry, and a view.
+func (w *world) tick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.collector == nil {
+		return
+	}
+	now := time.Now()
+	for node, s := range w.sessions.Open {
+		last, ok := w.beats[node]
+		if !ok {
+			w.beats[node] = now
+		} else if now.Sub(last) > time.Duration(s.TTLms)*time.Millisecond {
+			w.apply("session-expire", s)
+		}
+	}
+	v := w.collector.Compile(w.sessions, w.revision, time.Since(w.start))
+	for _, n := range v.Nodes {
+		h, ok := w.collector.reports[n.Node]
+		if !ok || n.AgeMs < 0 {
+			continue
+		}
+		if age := now.Sub(w.made[reportKey(n.Node, h.Incarnation, h.Seq)]); n.Fresh && age > freshIntervals*modelInterval ||
+			age.Milliseconds() > n.AgeMs {
+			w.fail("a report of %s, %v old, is told as %d ms old, fresh: %v", n.Node, age, n.AgeMs, n.Fresh)
+		}
+	}
+	w.view = v
+	w.views[v.Stamp] = fmt.Sprint(v)
+	close(w.next)
+	w.next = make(chan struct{})
+}
+
+func (w *world) apply(op string, s Session) (Session, error) {
+	before := w.sessions.Last[s.Node]
+	out, err := w.sessions.Apply(&SessionCommand{op, s}, w.revision+1)
+	if err == nil && !out.Same {
+		w.revision++
+	}
+	if w.sessions.Last[s.Node] < before {
+		w.fail("the incarnation of %s went back", s.Node)
+	}
+	kept, _ := out.Value.(Session)
+	return kept, err
+}
+
+// elect changes the leader: a while without one, then a term whose collector knows no report.
+func (w *world) elect(gap time.Duration) {
+	w.mu.Lock()
+	w.row("leader lost for %v", gap)
+	w.collector = nil
+	w.mu.Unlock()
+	time.Sleep(gap)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.term++
+	w.collector, w.beats = NewCollector(w.term, modelInterval), map[string]time.Time{}
+	w.row("term %d", w.term)
+}
+
+// link is one process's way to the registry.
+type link struct {
+	*world
+	node  string
+	stall time.Time // the process stands still until then
+	gone  context.Context
+	calls *sync.WaitGroup
+}
+
+// way draws what becomes of a call: how long it takes there and back, and whether either is lost.
+func (w *world) way() (there, back time.Duration, lostThere, lostBack bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	there, back = time.Duration(1+w.rng.IntN(20))*time.Millisecond, time.Duration(1+w.rng.IntN(20))*time.Millisecond
+	if w.calm {
+		return there, back, false, false
+	}
+	if w.rng.IntN(8) == 0 {
+		there += time.Duration(w.rng.IntN(9000)) * time.Millisecond
+	}
+	return there, back, w.rng.IntN(20) == 0, w.rng.IntN(20) == 0
+}
+
+// over makes a call over the link. What has been sent arrives even if nobody waits for the answer any more.
+func over[T any](l *link, ctx context.Context, limit time.Duration, f func() (T, error)) (T, error) {
+	type result struct {
+		v   T
+		err error
+	}
+	var zero T
+	l.mu.Lock()
+	stall := time.Until(l.stall)
+	l.mu.Unlock()
+	pause(l.gone, stall)
+	there, back, lostThere, lostBack := l.way()
+	got := make(chan result, 1)
+	l.calls.Go(func() {
+		if time.Sleep(there); lostThere {
+			return
+		}
+		v, err := f()
+		if time.Sleep(back); !lostBack {
+			got <- result{v, err}
+		}
+	})
+	t := time.NewTimer(limit + callWithin)
+	defer t.Stop()
+	select {
+	case r := <-got:
+		return r.v, r.err
+	case <-t.C:
+		return zero, ErrUnreachable.Of("model", context.DeadlineExceeded)
+	case <-ctx.Done():
+		return zero, ErrUnreachable.Of("model", ctx.Err())
+	case <-l.gone.Done():
+		return zero, ErrUnreachable.Of("model", l.gone.Err())
+	}
+}
+
+func (l *link) Session(ctx context.Context, node string) (Held, error) {
+	return over(l, ctx, 0, func() (h Held, err error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.collector == nil {
+			return h, ErrNoView.Of("model", nil)
+		}
+		if s, ok := l.sessions.Open[node]; ok {
+			h.Session = &s
+		}
+		h.Last = l.sessions.Last[node]
+		return h, nil
+	})
+}
+
+func (l *link) Open(ctx context.Context, s Session) (Session, error) {
+	return over(l, ctx, 0, func() (Session, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.collector == nil {
+			return Session{}, ErrNoView.Of("model", nil)
+		}
+		l.beats[s.Node] = time.Now()
+		kept, err := l.apply("session-open", s)
+		l.row("%s open %d by %s: %v", s.Node, s.Incarnation, s.Process, err)
+		return kept, err
+	})
+}
+
+func (l *link) Close(ctx context.Context, node string, incarnation uint64) error {
+	_, err := over(l, ctx, 0, func() (Session, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.apply("session-close", Session{Node: node, Incarnation: incarnation})
+	})
+	return err
+}
+
+func (l *link) Report(ctx context.Context, r Echoed, wait time.Duration) (View, bool, error) {
+	type answer struct {
+		v    View
+		came bool
+	}
+	l.mu.Lock()
+	l.made[reportKey(r.Node, r.Incarnation, r.Seq)] = time.Now()
+	l.mu.Unlock()
+	a, err := over(l, ctx, wait, func() (answer, error) {
+		l.mu.Lock()
+		if l.collector == nil {
+			l.mu.Unlock()
+			return answer{}, ErrNoView.Of("model", nil)
+		}
+		if l.trustArrival {
+			r.Echo = Stamp{l.collector.term, l.collector.epoch}
+		}
+		err := l.collector.Take(l.sessions, r)
+		if err == nil {
+			l.beats[r.Node] = time.Now()
+		}
+		l.mu.Unlock()
+		if err != nil {
+			return answer{}, err
+		}
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		for {
+			l.mu.Lock()
+			v, next := l.view, l.next
+			l.mu.Unlock()
+			if v.Epoch != 0 && v.Stamp != r.Echo {
+				return answer{v, true}, nil
+			}
+			select {
+			case <-next:
+			case <-t.C:
+				return answer{}, nil
+			}
+		}
+	})
+	return a.v, a.came, err
+}
+
+// process is one start of a node.
+type process struct {
+	agent *Agent
+	link  *link
+	kill  context.CancelFunc
+	ended chan error
+}
+
+// fleetModel plays one schedule over nodes and gives what was broken.
+func playModel(t *testing.T, seed uint64, nodes int, planted bool) (broken, timeline []string) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(seed)
+		w.trustArrival = planted
+		ctx, stop := context.WithCancel(context.Background())
+		var calls, all sync.WaitGroup
+		processes := map[string][]*process{}
+		start := func(node string) {
+			gone, kill := context.WithCancel(ctx)
+			name := fmt.Sprintf("%s.%d", node, len(processes[node])+1)
+			p := &process{link: &link{world: w, node: node, gone: gone, calls: &calls}, kill: kill, ended: make(chan error, 1)}
+			p.agent = NewAgent(AgentConfig{Node: node, Site: "a", Address: "127.0.0.1:1", Interval: modelInterval}, name, p.link,
+				func() Report { return Report{Figures: Figures{Connections: 1}} }, slog.New(slog.DiscardHandler))
+			processes[node] = append(processes[node], p)
+			all.Go(func() { p.ended <- p.agent.Run(gone) })
+		}
+		name := func(i int) string { return fmt.Sprintf("n%d", i) }
+		for i := range nodes {
+			start(name(i))
+		}
+		all.Go(func() {
+			for tick := time.NewTicker(modelInterval); ctx.Err() == nil; {
+				select {
+				case <-tick.C:
+					w.tick()
+				case <-ctx.Done():
+					tick.Stop()
+				}
+			}
+		})
+		seen := map[*process]Stamp{}
+		look := func() {
+			for _, ps := range processes {
+				for _, p := range ps {
+					v, _, ok := p.agent.View()
+					if !ok {
+						continue
+					}
+					if v.Stamp.Before(seen[p]) {
+						w.fail("%s went back from %v to %v", p.link.node, seen[p], v.Stamp)
+					}
+					if seen[p] = v.Stamp; fmt.Sprint(v) != w.views[v.Stamp] {
+						w.fail("%s reads another view under %v", p.link.node, v.Stamp)
+					}
+				}
+			}
+		}
+		for range 6 + w.rng.IntN(6) {
+			time.Sleep(time.Duration(w.rng.IntN(3000)) * time.Millisecond)
+			w.mu.Lock()
+			node, kind, long := name(w.rng.IntN(nodes)), w.rng.IntN(4), time.Duration(w.rng.IntN(9000))*time.Millisecond
+			last := processes[node][len(processes[node])-1]
+			switch kind {
+			case 0:
+				w.row("%s stalls for %v", node, long)
+				last.link.stall = time.Now().Add(long)
+			case 1:
+				w.row("%s killed and started", node)
+				last.kill()
+			case 2:
+				w.row("%s: a second process beside the first", node)
+			}
+			w.mu.Unlock()
+			switch kind {
+			case 1, 2:
+				start(node)
+			case 3:
+				w.elect(long / 3)
+			}
+			w.mu.Lock()
+			look()
+			w.mu.Unlock()
+		}
+		w.mu.Lock()
+		w.calm = true
+		w.row("calm")
+		w.mu.Unlock()
+		time.Sleep(40 * modelInterval) // past every stall, call and TTL
+		w.mu.Lock()
+		look()
+		w.settled(processes)
+		broken, timeline = w.broken, w.faults
+		w.mu.Unlock()
+		stop()
+		all.Wait()
+		calls.Wait()
+	})
+	return broken, timeline
+}
+
+// settled checks what must hold once faults have been over for long: each name is held by one live process, the others
+// of it were told so and have ended, and its report is fresh.
+func (w *world) settled(processes map[string][]*process) {
+	fresh := map[string]bool{}
+	for _, n := range w.view.Nodes {
+		fresh[n.Node] = n.Fresh
+	}
+	for node, ps := range processes {
+		if !fresh[node] {
+			w.fail("%s is not fresh long after the last fault", node)
+		}
+		live := 0
+		for _, p := range ps {
+			if p.link.gone.Err() != nil {
+				continue
+			}
+			select {
+			case err := <-p.ended:
+				if !errors.Is(err, ErrSuperseded) {
+					w.fail("a process of %s ended with %v", node, err)
+				}
+			default:
+				live++
+			}
+		}
+		if live != 1 {
+			w.fail("%d live processes have the name %s", live, node)
+		}
+	}
+}
+
+// modelSchedules is how many schedules a test plays; FLEET_SCHEDULES sets another number, and changes no verdict of a seed.
+func modelSchedules() int {
+	if n, err := strconv.Atoi(os.Getenv("FLEET_SCHEDULES")); err == nil {
+		return n
+	}
+	return 10000
+}
+
+// Over drawn schedules of lost and late calls, stalls, crashes, second processes and leader changes: no report counts as
+// younger than it is, views never go back and are the same for all readers, incarnations rise, and once faults are over
+// each name has one process and a fresh report.
+func TestViewHoldsUnderDrawnFaults(t *testing.T) {
+	const parts = 8
+	for part := range uint64(parts) {
+		t.Run(fmt.Sprint("part", part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < uint64(modelSchedules()); seed += parts {
+				if broken, timeline := playModel(t, seed, 3, false); len(broken) > 0 {
+					t.Fatalf("seed %d: %s\n%s", seed, broken[0], strings.Join(timeline, "\n"))
+				}
+			}
+		})
+	}
+}
+
+// A fleet of the full size keeps the same rules.
+func TestViewHoldsAtFullSize(t *testing.T) {
+	for seed := range uint64(1) {
+		if broken, timeline := playModel(t, seed, 300, false); len(broken) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, broken[0], strings.Join(timeline[max(0, len(timeline)-40):], "\n"))
+		}
+	}
+}
+
+// A collector that takes a report for as young as its arrival is caught.
+func TestPlantedTrustInArrivalIsCaught(t *testing.T) {
+	for seed := range uint64(50) {
+		if broken, _ := playModel(t, seed, 3, true); len(broken) > 0 {
+			return
+		}
+	}
+	t.Fatal("50 schedules did not show a late report that passes for fresh")
+}
--- /dev/null
+++ b/internal/fleet/session.go
@@ -0,0 +1,146 @@
+// Package fleet is what all nodes know of all nodes: sessions, kept in the registry's replicated state, and a view of
+// their load, compiled by the registry's leader once an epoch from the nodes' reports. See docs/ROADMAP.md, "A fleet
+// that settles its own affairs".
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"glencart/internal/machine"
+)
+
+// Session is a process of a node, in the registry's state. Of two processes under one name the one with the higher
+// incarnation is the node.
+type Session struct {
+	Node        string `json:"node"`
+	Site        string `json:"site"`
+	Process     string `json:"process"`     // drawn by the process at its start, so that it knows a session as its own
+	Incarnation uint64 `json:"incarnation"` // one above the last under the name; clocks have no part in it
+	Address     string `json:"address"`     // where clients connect
+	TTLms       int64  `json:"ttl_ms"`
+	Since       int64  `json:"since"` // revision at which it was opened
+}
+
+// Check refuses a session that cannot be one.
+func (s Session) Check() error {
+	_, err := netip.ParseAddrPort(s.Address)
+	switch {
+	case s.Node == "" || len(s.Node) > keyMost:
+		return ErrMalformed.Of("node", fmt.Errorf("a name of 1 to %d bytes is wanted", keyMost))
+	case len(s.Site) > keyMost || len(s.Process) > keyMost:
+		return ErrMalformed.Of(s.Node, fmt.Errorf("site or process longer than %d bytes", keyMost))
+	case s.Process == "":
+		return ErrMalformed.Of(s.Node, errors.New("process: missing"))
+	case s.Incarnation == 0:
+		return ErrMalformed.Of(s.Node, errors.New("incarnation: 0"))
+	case err != nil:
+		return ErrMalformed.Of(s.Node, fmt.Errorf("address %q is not an address with a port", s.Address))
+	case s.TTLms <= 0:
+		return ErrMalformed.Of(s.Node, errors.New("ttl_ms must be above 0"))
+	}
+	return nil
+}
+
+// SessionCommand opens a session (session-open), ends one that its process closes (session-close) or ends one whose
+// renewals stopped (session-expire, by node and incarnation).
+type SessionCommand struct {
+	Op      string  `json:"op"`
+	Session Session `json:"session"`
+}
+
+// Operation is the command's operation.
+func (c *SessionCommand) Operation() string { return c.Op }
+
+// Sessions is the machine of the nodes' sessions.
+type Sessions struct {
+	Open map[string]Session `json:"open"` // by node
+	// Last is the highest incarnation that each name ever had: an older process stays superseded after the newer
+	// one's session has ended.
+	Last map[string]uint64 `json:"last"`
+}
+
+// NewSessions is a machine without a session.
+func NewSessions() *Sessions {
+	return &Sessions{Open: map[string]Session{}, Last: map[string]uint64{}}
+}
+
+// Kind names the machine.
+func (s *Sessions) Kind() string { return "sessions" }
+
+// Commands are the operations of the machine.
+func (s *Sessions) Commands() map[string]func() machine.Command {
+	empty := func() machine.Command { return &SessionCommand{} }
+	return map[string]func() machine.Command{"session-open": empty, "session-close": empty, "session-expire": empty}
+}
+
+// Apply carries out a command. A session is opened by compare-and-set: its incarnation has to be one above the last
+// under the name, so a call that comes late, from a process that is gone, cannot supersede a newer one. To open the
+// session that is open is no change.
+func (s *Sessions) Apply(cmd machine.Command, next int64) (machine.Outcome, error) {
+	c := cmd.(*SessionCommand)
+	n := c.Session
+	if c.Op != "session-open" {
+		if err := s.Holds(n.Node, n.Incarnation); err != nil {
+			return machine.Outcome{}, err
+		}
+		delete(s.Open, n.Node)
+		return machine.Outcome{Value: n}, nil
+	}
+	if err := n.Check(); err != nil {
+		return machine.Outcome{}, err
+	}
+	old, open := s.Open[n.Node]
+	if open && n.Process == old.Process {
+		if n.Incarnation != old.Incarnation {
+			return machine.Outcome{}, ErrSuperseded.Of(n.Node, fmt.Errorf("the process has incarnation %d", old.Incarnation))
+		}
+		return machine.Outcome{Same: true, Value: old}, nil
+	}
+	switch last := s.Last[n.Node]; {
+	case n.Incarnation <= last:
+		return machine.Outcome{}, ErrSuperseded.Of(n.Node, fmt.Errorf("incarnation %d, and %d has been here", n.Incarnation, last))
+	case n.Incarnation > last+1:
+		return machine.Outcome{}, ErrMalformed.Of(n.Node, fmt.Errorf("incarnation %d after %d", n.Incarnation, last))
+	}
+	n.Since = next
+	s.Open[n.Node], s.Last[n.Node] = n, n.Incarnation
+	return machine.Outcome{Value: n}, nil
+}
+
+// Holds tells whether a process has its node's session, and why not.
+func (s *Sessions) Holds(node string, incarnation uint64) error {
+	if last := s.Last[node]; incarnation < last {
+		return ErrSuperseded.Of(node, fmt.Errorf("incarnation %d, and %d has been here", incarnation, last))
+	}
+	if o, ok := s.Open[node]; !ok || o.Incarnation != incarnation {
+		return ErrNoSession.Of(node, nil)
+	}
+	return nil
+}
+
+// All are the open sessions by name.
+func (s *Sessions) All() []Session {
+	out := make([]Session, 0, len(s.Open))
+	for _, n := range slices.Sorted(maps.Keys(s.Open)) {
+		out = append(out, s.Open[n])
+	}
+	return out
+}
+
+// Encode writes the sessions.
+func (s *Sessions) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Decode takes the sessions of a snapshot.
+func (s *Sessions) Decode(text []byte, _ int64) error {
+	n := NewSessions()
+	if err := json.Unmarshal(text, n); err != nil {
+		return err
+	}
+	*s = *n
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/sketch_test.go
@@ -0,0 +1,94 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Against exact counts over random streams: a key's weight is never told too low nor further too high than Over says,
+// every key above its share of the total is there, no more counters are kept than asked for, and with no more keys
+// than counters all is exact.
+func TestSketchKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 12).Draw(t, "size")
+		s, exact, total := NewSketch(size), map[string]float64{}, 0.0
+		for _, k := range rapid.SliceOfN(rapid.IntRange(0, 30), 0, 200).Draw(t, "keys") {
+			key, w := fmt.Sprint("t", k), float64(1+k%3)
+			s.Add(key, w)
+			exact[key] += w
+			total += w
+		}
+		top := s.Top(size)
+		if len(top) > size || s.Total() != total || len(s.place) != len(s.heap) {
+			t.Fatalf("%d counters of %d, total %v of %v", len(top), size, s.Total(), total)
+		}
+		there := map[string]bool{}
+		for i, h := range top {
+			there[h.Key] = true
+			if w := exact[h.Key]; w > h.Weight || w < h.Weight-h.Over || len(exact) <= size && w != h.Weight {
+				t.Fatalf("%+v, true weight %v", h, w)
+			}
+			if i > 0 && h.Weight > top[i-1].Weight {
+				t.Fatalf("out of order: %+v", top)
+			}
+		}
+		for key, w := range exact {
+			if w > total/float64(size) && !there[key] {
+				t.Fatalf("%s with %v of %v is missing among %d", key, w, total, size)
+			}
+		}
+	})
+}
+
+// Keys of any length and number take no more memory, and a cleared sketch counts anew without any.
+func TestSketchMemoryIsFixed(t *testing.T) {
+	s := NewSketch(64)
+	fill := func() {
+		for i := range 2000 {
+			s.Add(strings.Repeat("x", i%100)+fmt.Sprint(i), 1)
+		}
+	}
+	fill()
+	for _, h := range s.Top(64) {
+		if len(h.Key) > keyMost {
+			t.Errorf("a key of %d bytes is kept", len(h.Key))
+		}
+	}
+	s.Clear()
+	if s.Add("a", 1); s.Total() != 1 || len(s.Top(9)) != 1 {
+		t.Errorf("after Clear: %v", s.Top(9))
+	}
+	s.Add("a", -1)
+	if s.Total() != 1 {
+		t.Errorf("a weight below 0 counts")
+	}
+}
+
+// A report stays within its bound, says how much is left out, and leaves out what has least at stake.
+func TestReportsAreBounded(t *testing.T) {
+	r := Report{Node: "n1", Incarnation: 1}
+	for i := range 2000 {
+		r.Backends = append(r.Backends, BackendLoad{ID: fmt.Sprintf("s-%08d", i), Estimate: 0.123, Outstanding: float64(i % 5)})
+	}
+	for i := range 32 {
+		r.ByConns = append(r.ByConns, Heavy{Key: fmt.Sprint("tenant", i), Weight: float64(100 - i)})
+	}
+	b, err := r.Bounded()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Backends)+b.Cut != 2000 || len(b.ByConns) != 32 || len(r.Backends) != 2000 {
+		t.Errorf("%d backends, %d cut, %d tenants", len(b.Backends), b.Cut, len(b.ByConns))
+	}
+	for i, x := range b.Backends {
+		if x.Outstanding < 3 {
+			t.Fatalf("%+v is kept while busier ones are left out", x)
+		}
+		if i > 0 && x.ID <= b.Backends[i-1].ID {
+			t.Fatal("not by id")
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/view_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func openSessions(t testing.TB, n int) *Sessions {
+	t.Helper()
+	s := NewSessions()
+	for i := range n {
+		if _, err := s.Apply(&SessionCommand{"session-open", session(fmt.Sprintf("n%03d", i), "p", 1)}, int64(i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// A report is as old as the view that it echoes, whenever it comes: one that was held up is not fresh, nor is one that
+// echoes nothing of this term. The same report twice, an older one, and one of a process that has no session are refused.
+func TestAgesComeFromEchoes(t *testing.T) {
+	const interval = time.Second
+	s := openSessions(t, 2)
+	c := NewCollector(7, interval)
+	report := func(inc, seq uint64, echo Stamp) Echoed {
+		return Echoed{Report: Report{Node: "n000", Incarnation: inc, Seq: seq}, Echo: echo}
+	}
+	for i := range 5 {
+		c.Compile(s, 1, time.Duration(i)*interval) // epoch i+1, published after i intervals
+	}
+	for name, tc := range map[string]struct {
+		r     Echoed
+		err   error
+		age   int64 // at 5 intervals
+		fresh bool
+	}{
+		"of the last view":       {r: report(1, 1, Stamp{7, 5}), age: 1000, fresh: true},
+		"at the bound":           {r: report(1, 1, Stamp{7, 3}), age: 3000, fresh: true},
+		"held up":                {r: report(1, 1, Stamp{7, 2}), age: 4000},
+		"echoes nothing":         {r: report(1, 1, Stamp{}), age: -1},
+		"echoes another term":    {r: report(1, 1, Stamp{6, 5}), age: -1},
+		"echoes a view to come":  {r: report(1, 1, Stamp{7, 6}), age: -1},
+		"of an older process":    {r: report(0, 1, Stamp{7, 5}), err: ErrMalformed, age: -1},
+		"of a process to come":   {r: report(2, 1, Stamp{7, 5}), err: ErrNoSession, age: -1},
+		"of a node without name": {r: Echoed{Report: Report{Incarnation: 1}}, err: ErrMalformed, age: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := *c
+			c.reports = map[string]held{}
+			if err := c.Take(s, tc.r); !errors.Is(err, tc.err) {
+				t.Fatalf("%v, want %v", err, tc.err)
+			}
+			if err := c.Take(s, tc.r); tc.err == nil && !errors.Is(err, ErrStale) {
+				t.Errorf("the same report again: %v", err)
+			}
+			v := c.Compile(s, 1, 5*interval)
+			if n := v.Nodes[0]; n.AgeMs != tc.age || n.Fresh != tc.fresh {
+				t.Errorf("age %d, fresh %v, want %d, %v", n.AgeMs, n.Fresh, tc.age, tc.fresh)
+			}
+		})
+	}
+}
+
+// The view depends on what was reported and not on the order in which it came, bit for bit; backends are seen by the
+// fresh reports alone, and one sick node's word does not move them.
+func TestViewIsTheSameInAnyOrder(t *testing.T) {
+	s := openSessions(t, 9)
+	compile := func(seed uint64) []byte {
+		c := NewCollector(1, time.Second)
+		c.Compile(s, 1, 0)
+		for _, i := range rand.New(rand.NewPCG(seed, 0)).Perm(9) {
+			r := Echoed{Report: Report{Node: fmt.Sprintf("n%03d", i), Incarnation: 1, Seq: 1, Figures: Figures{Connections: float64(i)}},
+				Echo: Stamp{1, 1}}
+			for j := range 3 {
+				r.Backends = append(r.Backends, BackendLoad{ID: fmt.Sprint("s", j), Estimate: 0.1 * float64(i+j), Outstanding: 0.1 * float64(i), Failures: 0.01})
+			}
+			if i == 8 { // a liar
+				r.Backends[0] = BackendLoad{ID: "s0", Estimate: 1e9, Failures: 1}
+			}
+			if i == 7 {
+				r.Echo = Stamp{} // of no known age
+			}
+			if err := c.Take(s, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		text, err := json.Marshal(c.Compile(s, 1, time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	first := compile(1)
+	for seed := range uint64(20) {
+		if text := compile(seed); string(text) != string(first) {
+			t.Fatalf("%s\n%s", text, first)
+		}
+	}
+	var v View
+	if err := json.Unmarshal(first, &v); err != nil {
+		t.Fatal(err)
+	}
+	if b := v.Backends[0]; b.Nodes != 8 || b.Estimate > 0.5 || b.Failures != 0.01 {
+		t.Errorf("a sick node's word counts: %+v", b)
+	}
+}
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -27,8 +27,10 @@
 	MaxCalls  int               `toml:"max_calls"` // calls served at once; more get 503 at once
 	// DefaultTTL applies to members registered without a TTL; 0 keeps them until deregistered.
 	DefaultTTL tomlconf.Duration `toml:"default_ttl"`
-	Timing     Timing            `toml:"raft_timing"`
-	Peers      []Peer            `toml:"peer"`
+	// FleetInterval is how often the leader compiles the nodes' reports into a view.
+	FleetInterval tomlconf.Duration `toml:"fleet_interval"`
+	Timing        Timing            `toml:"raft_timing"`
+	Peers         []Peer            `toml:"peer"`
 }
 
 // Timing are raft's timeouts and snapshot policy (hashicorp/raft's Config of the same names).
@@ -51,7 +53,7 @@
 
 func defaults() Config {
 	d := func(v time.Duration) tomlconf.Duration { return tomlconf.Duration{Duration: v} }
-	return Config{StaleRead: d(time.Second), Ring: 4096, MaxCalls: 2048, Timing: Timing{
+	return Config{StaleRead: d(time.Second), Ring: 4096, MaxCalls: 2048, FleetInterval: d(time.Second), Timing: Timing{
 		Heartbeat: d(500 * time.Millisecond), Election: d(500 * time.Millisecond), LeaderLease: d(250 * time.Millisecond),
 		Commit: d(10 * time.Millisecond), SnapshotInterval: d(30 * time.Second), SnapshotThreshold: 8192, TrailingLogs: 10240}}
 }
@@ -115,6 +117,8 @@
 		return tomlconf.Bad("raft_timing.leader_lease", "%s is not within 0 and the heartbeat's %s", t.LeaderLease, t.Heartbeat)
 	case t.Commit.Duration <= 0:
 		return tomlconf.Bad("raft_timing.commit", "must be above 0")
+	case c.FleetInterval.Duration < 10*time.Millisecond:
+		return tomlconf.Bad("fleet_interval", "%s is below 10ms", c.FleetInterval)
 	case c.StaleRead.Duration < 0:
 		return tomlconf.Bad("stale_read", "negative")
 	}
--- /dev/null
+++ b/internal/registry/fleet.go
@@ -0,0 +1,254 @@
+package registry
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"glencart/internal/fleet"
+	"glencart/internal/machine"
+)
+
+// fleetSide is the registry's part in the fleet's shared view (docs/ROADMAP.md): sessions go through the log; reports
+// are kept by the leader alone, which compiles them into a view once an interval while there are sessions.
+type fleetSide struct {
+	interval time.Duration
+	start    time.Time // of the monotonic clock that the collector's times are on
+
+	mu        sync.Mutex
+	collector *fleet.Collector // of the term that this replica leads in; nil where it does not
+	view      *publishedView   // the last one of that term; nil: none yet
+	next      chan struct{}    // closed when view changes; then there is a new one
+}
+
+// publishedView is a view as all its readers get it.
+type publishedView struct {
+	stamp        fleet.Stamp
+	text, zipped []byte
+	at           time.Time
+}
+
+func newFleetSide(interval time.Duration) *fleetSide {
+	return &fleetSide{interval: interval, start: time.Now(), next: make(chan struct{})}
+}
+
+// stampHeader names the view that an answer holds, as TERM.EPOCH.
+const stampHeader = "X-Fleet-View"
+
+// reportBody bounds a report's body, which is longer than what fleet allows by its echo.
+const reportBody = 40 << 10
+
+func sessionKey(node string) string { return "session:" + node }
+
+// compileViews publishes a view an interval while this replica leads, until ctx ends.
+func (r *Replica) compileViews(ctx context.Context) {
+	tick := time.NewTicker(r.fleet.interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			r.publishView()
+		}
+	}
+}
+
+func (r *Replica) publishView() {
+	f := r.fleet
+	leading, term := r.Leader() && r.fresh(), r.raft.CurrentTerm()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !leading {
+		f.collector, f.view = nil, nil
+		return
+	}
+	if f.collector == nil || f.collector.Term() != term {
+		f.collector, f.view = fleet.NewCollector(term, f.interval), nil
+	}
+	var v fleet.View
+	sessions := 0
+	r.fsm.read(func(s *State) {
+		if sessions = len(r.sessions.Open); sessions > 0 || f.view != nil {
+			v = f.collector.Compile(r.sessions, s.Revision, time.Since(f.start))
+		}
+	})
+	if v.Epoch == 0 {
+		return // nobody reports, and nobody reads
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		r.log.Error("view not encoded", "error", err)
+		return
+	}
+	f.view = &publishedView{stamp: v.Stamp, text: text, zipped: zipped(text), at: time.Now()}
+	close(f.next)
+	f.next = make(chan struct{})
+}
+
+// zipped is a text in gzip's quickest form: it is sent to every node.
+func zipped(text []byte) []byte {
+	var b bytes.Buffer
+	w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed) // the level is a valid one
+	w.Write(text)
+	w.Close()
+	return b.Bytes()
+}
+
+// serveReport takes in a report (fleet.Echoed) and answers with the first view after the one that it echoes, within
+// wait_ms; 204 where none came.
+func (r *Replica) serveReport(w http.ResponseWriter, req *http.Request) {
+	if !r.Leader() {
+		r.forward(w, req)
+		return
+	}
+	waitMs, err := strconv.ParseInt(req.URL.Query().Get("wait_ms"), 10, 64)
+	if err != nil || waitMs < 0 {
+		fail(w, ErrMalformed.Of("wait_ms", fmt.Errorf("%q is not a number of milliseconds", req.URL.Query().Get("wait_ms"))))
+		return
+	}
+	var rep fleet.Echoed
+	req.Body = http.MaxBytesReader(w, req.Body, reportBody)
+	if err := decodeBody(req, &rep); err != nil {
+		fail(w, err)
+		return
+	}
+	if err := r.takeReport(rep); err != nil {
+		fail(w, err)
+		return
+	}
+	r.beat(sessionKey(rep.Node))
+	r.answerView(w, req, rep.Echo, min(time.Duration(waitMs)*time.Millisecond, maxWait))
+}
+
+func (r *Replica) takeReport(rep fleet.Echoed) error {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.collector == nil || f.collector.Term() != r.raft.CurrentTerm() {
+		return fleet.ErrNoView.Of(r.cfg.ID, nil)
+	}
+	var err error
+	r.fsm.read(func(*State) { err = f.collector.Take(r.sessions, rep) })
+	return err
+}
+
+// answerView answers with the first view that is not the one named, within wait.
+func (r *Replica) answerView(w http.ResponseWriter, req *http.Request, not fleet.Stamp, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		r.fleet.mu.Lock()
+		v, next := r.fleet.view, r.fleet.next
+		r.fleet.mu.Unlock()
+		if v != nil && v.stamp != not {
+			writeView(w, req, v)
+			return
+		}
+		select {
+		case <-next:
+		case <-t.C:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func writeView(w http.ResponseWriter, req *http.Request, v *publishedView) {
+	h, text := w.Header(), v.text
+	h.Set("Content-Type", "application/json")
+	h.Set(stampHeader, fmt.Sprintf("%d.%d", v.stamp.Term, v.stamp.Epoch))
+	if strings.Contains(req.Header.Get("Accept-Encoding"), "gzip") {
+		h.Set("Content-Encoding", "gzip")
+		text = v.zipped
+	}
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.Write(text)
+}
+
+// serveView answers with the last view.
+func (r *Replica) serveView(w http.ResponseWriter, req *http.Request) {
+	if !r.Leader() {
+		r.forward(w, req)
+		return
+	}
+	r.fleet.mu.Lock()
+	v := r.fleet.view
+	r.fleet.mu.Unlock()
+	if v == nil || !r.fresh() {
+		fail(w, fleet.ErrNoView.Of(r.cfg.ID, nil))
+		return
+	}
+	writeView(w, req, v)
+}
+
+// serveSession answers with the highest incarnation under a name, and its open session if there is one.
+func (r *Replica) serveSession(w http.ResponseWriter, req *http.Request) {
+	if !r.Leader() {
+		r.forward(w, req)
+		return
+	}
+	if !r.fresh() {
+		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
+		return
+	}
+	var out fleet.Held
+	node := req.PathValue("node")
+	r.fsm.read(func(*State) {
+		out.Last = r.sessions.Last[node]
+		if s, ok := r.sessions.Open[node]; ok {
+			out.Session = &s
+		}
+	})
+	answer(w, out)
+}
+
+func (r *Replica) openSession(req *http.Request) (machine.Command, error) {
+	var s fleet.Session
+	if err := decodeBody(req, &s); err != nil {
+		return nil, err
+	}
+	if ttl := time.Duration(s.TTLms) * time.Millisecond; ttl < r.leastTTL() {
+		return nil, ErrMalformed.Of("ttl_ms", fmt.Errorf("%d is shorter than two election timeouts (%s)", s.TTLms, r.leastTTL()))
+	}
+	return &sessionWrite{fleet.SessionCommand{Op: "session-open", Session: s}}, s.Check()
+}
+
+func (r *Replica) closeSession(req *http.Request) (machine.Command, error) {
+	n, err := strconv.ParseUint(req.URL.Query().Get("incarnation"), 10, 64)
+	if err != nil {
+		return nil, ErrMalformed.Of("incarnation", err)
+	}
+	return &sessionWrite{fleet.SessionCommand{Op: "session-close",
+		Session: fleet.Session{Node: req.PathValue("node"), Incarnation: n}}}, nil
+}
+
+// sessionWrite is a session's command that starts its TTL on the leader's clock.
+type sessionWrite struct{ fleet.SessionCommand }
+
+func (c *sessionWrite) beats() string {
+	if c.Op == "session-open" {
+		return sessionKey(c.Session.Node)
+	}
+	return ""
+}
+
+// dueSessions gives the expiry commands of sessions whose reports stopped for their TTL; called with beatMu held.
+func (r *Replica) dueSessions(now time.Time) []machine.Command {
+	var due []machine.Command
+	for node, s := range r.sessions.Open {
+		if r.overdue(sessionKey(node), s.TTLms, now) {
+			due = append(due, &fleet.SessionCommand{Op: "session-expire", Session: fleet.Session{Node: node, Incarnation: s.Incarnation}})
+		}
+	}
+	return due
+}
--- /dev/null
+++ b/internal/registry/fleet_test.go
@@ -0,0 +1,251 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"glencart/internal/fleet"
+)
+
+// fleetInterval is short in tests: a view is due soon, and nothing rests on how soon.
+const fleetInterval = 50 * time.Millisecond
+
+func fleetClient(addrs ...string) *fleet.Client {
+	return &fleet.Client{Replicas: addrs, HTTP: &http.Client{Transport: &http.Transport{}}}
+}
+
+// node is an agent over HTTP for a test, ended with it.
+func testAgent(t testing.TB, name, process string, addrs []string) (*fleet.Agent, <-chan error) {
+	t.Helper()
+	c := fleetClient(addrs...)
+	a := fleet.NewAgent(fleet.AgentConfig{Node: name, Site: "a", Address: "127.0.0.1:1", Interval: fleetInterval, TTL: 2 * time.Second}, process, c,
+		func() fleet.Report {
+			return fleet.Report{Figures: fleet.Figures{Connections: 7, Allowed: 64}, Backends: []fleet.BackendLoad{{ID: "s-1", Estimate: 2}}}
+		}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended, done := make(chan error, 1), make(chan struct{})
+	go func() { ended <- a.Run(ctx); close(done) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		c.HTTP.CloseIdleConnections()
+	})
+	return a, ended
+}
+
+// await waits for ok.
+func await(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came about: %s", what)
+		}
+	}
+}
+
+func allFresh(a *fleet.Agent, nodes int) func() bool {
+	return func() bool { s := a.Status(); return s.Fresh == nodes && s.Nodes == nodes }
+}
+
+// Nodes that ask different replicas read one view, the same bytes under one stamp; a second process under a name ends
+// the first; and when the leader goes the next one's view takes over, in a higher term, with every session in it.
+func TestNodesShareOneView(t *testing.T) {
+	c := newClusterWith(t, 3, false)
+	var agents []*fleet.Agent
+	for i := range 3 {
+		a, _ := testAgent(t, fmt.Sprint("n", i), "p", []string{c.http[i], c.http[(i+1)%3], c.http[(i+2)%3]})
+		agents = append(agents, a)
+	}
+	for _, a := range agents {
+		await(t, "three fresh nodes", allFresh(a, 3))
+	}
+	v, _, _ := agents[0].View()
+	if v.Backends[0].Nodes != 3 || v.Backends[0].Estimate != 2 || v.Nodes[1].Figures.Connections != 7 {
+		t.Errorf("the view tells %+v", v)
+	}
+
+	texts := map[string]string{}
+	for range 60 {
+		for _, addr := range c.http {
+			resp, err := http.Get("http://" + addr + "/registry/fleet/view")
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			stamp := resp.Header.Get(stampHeader)
+			if was, ok := texts[stamp]; resp.StatusCode != 200 || ok && was != string(text) {
+				t.Fatalf("%d: two views under %s:\n%s\n%s", resp.StatusCode, stamp, was, text)
+			}
+			texts[stamp] = string(text)
+		}
+	}
+
+	newer, _ := testAgent(t, "n1", "p'", c.http)
+	await(t, "the newer process in the view", allFresh(newer, 3))
+	await(t, "the older one told", func() bool { return agents[1].Status().Superseded })
+
+	before := agents[0].Status().View
+	for i, r := range c.replicas {
+		if r.Leader() {
+			c.stop(i)
+			break
+		}
+	}
+	await(t, "a view of a later term with all fresh", func() bool {
+		s := agents[0].Status()
+		return s.View.Term > before.Term && allFresh(agents[0], 3)()
+	})
+}
+
+// A process that stops reporting loses its session with its TTL, and the calls tell what is wrong with a code and a
+// remedy.
+func TestSessionsExpireAndErrorsTellTheRemedy(t *testing.T) {
+	c := newClusterWith(t, 1, false)
+	await(t, "a leader", func() bool { return c.replicas[0].Leader() && c.replicas[0].fresh() })
+	ctx, client := t.Context(), fleetClient(c.http...)
+	defer client.HTTP.CloseIdleConnections()
+	s := fleet.Session{Node: "n1", Site: "a", Process: "p", Incarnation: 1, Address: "127.0.0.1:1", TTLms: 300}
+	if _, err := client.Open(ctx, s); err != nil {
+		t.Fatal(err)
+	}
+	if h, err := client.Session(ctx, "n1"); err != nil || h.Last != 1 || h.Session == nil {
+		t.Fatalf("%+v %v", h, err)
+	}
+	late := s
+	late.Process = "older"
+	if _, err := client.Open(ctx, late); !errors.Is(err, fleet.ErrSuperseded) {
+		t.Errorf("an older process: %v", err)
+	}
+	await(t, "expiry", func() bool {
+		h, err := client.Session(ctx, "n1")
+		return err == nil && h.Session == nil && h.Last == 1
+	})
+	_, _, err := client.Report(ctx, fleet.Echoed{Report: fleet.Report{Node: "n1", Incarnation: 1, Seq: 1}}, 0)
+	if !errors.Is(err, fleet.ErrNoSession) {
+		t.Errorf("a report without a session: %v", err)
+	}
+	for body, code := range map[string]string{
+		`{"node":"n1","ttl_ms":1}`: "registry.malformed",
+		`{"node":"n1","process":"p","incarnation":9,"address":"127.0.0.1:1","ttl_ms":1000}`: "fleet.malformed",
+		`{"nod":"n1"}`: "registry.malformed",
+	} {
+		resp, err := http.Post("http://"+c.http[0]+"/registry/fleet/sessions", "application/json", bytes.NewBufferString(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a struct{ Code, Error, Remedy string }
+		json.NewDecoder(resp.Body).Decode(&a)
+		resp.Body.Close()
+		if resp.StatusCode != 400 || a.Code != code || a.Error == "" || a.Remedy == "" {
+			t.Errorf("%s: %d %+v", body, resp.StatusCode, a)
+		}
+	}
+}
+
+// BenchmarkFleetView has 300 nodes report to three replicas at an interval of a second for five intervals, and tells the
+// leader process's share of a core (all three replicas and the 300 nodes run in this process, so it is an upper bound),
+// the time from a view's epoch to its arrival at p99, and the bytes of a view.
+func BenchmarkFleetView(b *testing.B) {
+	const nodes = 300
+	c := newClusterFor(b, 3, false, time.Second)
+	for b.Loop() {
+		var mu sync.Mutex
+		var late []float64
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for i := range nodes {
+			client := fleetClient(c.http[i%3], c.http[(i+1)%3], c.http[(i+2)%3])
+			defer client.HTTP.CloseIdleConnections()
+			timed := &timedRegistry{Client: client, took: func(d time.Duration) {
+				mu.Lock()
+				late = append(late, d.Seconds()*1000)
+				mu.Unlock()
+			}, replicas: c.replicas}
+			a := fleet.NewAgent(fleet.AgentConfig{Node: fmt.Sprintf("n%03d", i), Site: "a", Address: "127.0.0.1:1", Interval: time.Second},
+				"p", timed, sampleReport, slog.New(slog.DiscardHandler))
+			wg.Go(func() { a.Run(ctx) })
+		}
+		time.Sleep(3 * time.Second) // sessions
+		mu.Lock()
+		late = late[:0]
+		mu.Unlock()
+		cpu := processTime()
+		time.Sleep(5 * time.Second)
+		used := processTime() - cpu
+		mu.Lock()
+		b.ReportMetric(quantileOf(late, 0.5), "p50-ms")
+		b.ReportMetric(quantileOf(late, 0.99), "p99-ms")
+		b.ReportMetric(float64(len(late))/5, "views/s")
+		mu.Unlock()
+		b.ReportMetric(used.Seconds()/5, "cores")
+		for _, r := range c.replicas {
+			r.fleet.mu.Lock()
+			if v := r.fleet.view; v != nil {
+				b.ReportMetric(float64(len(v.text)), "view-B")
+				b.ReportMetric(float64(len(v.zipped)), "zipped-B")
+			}
+			r.fleet.mu.Unlock()
+		}
+		cancel()
+		wg.Wait()
+	}
+}
+
+// timedRegistry tells how long after its epoch each view comes.
+type timedRegistry struct {
+	*fleet.Client
+	replicas []*Replica
+	took     func(time.Duration)
+}
+
+func (t *timedRegistry) Report(ctx context.Context, r fleet.Echoed, wait time.Duration) (fleet.View, bool, error) {
+	v, came, err := t.Client.Report(ctx, r, wait)
+	now := time.Now()
+	for _, r := range t.replicas {
+		r.fleet.mu.Lock()
+		if p := r.fleet.view; came && p != nil && p.stamp == v.Stamp {
+			t.took(now.Sub(p.at))
+		}
+		r.fleet.mu.Unlock()
+	}
+	return v, came, err
+}
+
+// sampleReport is a report as a node of the full fleet makes it: it keeps to some twenty backends.
+func sampleReport() fleet.Report {
+	r := fleet.Report{Figures: fleet.Figures{Connections: 123, Descriptors: 150, Allowed: 512, Core: 0.31, InFlight: 12, Refused: 0.2}}
+	for i := range 20 {
+		r.Backends = append(r.Backends, fleet.BackendLoad{ID: fmt.Sprintf("s-%08x", i*2654435761), Estimate: 1.234, Outstanding: 2, Failures: 0.01})
+	}
+	for i := range 8 {
+		h := fleet.Heavy{Key: fmt.Sprintf("tenant-%d", i), Weight: float64(40 - i)}
+		r.ByConns, r.ByWork = append(r.ByConns, h), append(r.ByWork, h)
+	}
+	return r
+}
+
+func processTime() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func quantileOf(x []float64, q float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	slices.Sort(x)
+	return x[int(q*float64(len(x)-1))]
+}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -34,6 +34,8 @@
 //	DELETE /registry/members/{id}                 deregister: the member is gone among changes
 //	POST   /registry/members/{id}/heartbeat       keep its TTL
 //	GET    /registry/status                       this replica's role, leader and revision
+//	*      /registry/leases...                    leases (lease_http.go)
+//	*      /registry/fleet...                     sessions, reports and the view (fleet.go)
 //
 // Writes answer 200 {"revision":R} once applied; else {"code":...,"error":...,"remedy":...}: 400 for bad input, changing
 // nothing; 404 for an unknown id; 409 where the state forbids it; 503 where no leader can take it. Over max_calls at
@@ -51,6 +53,11 @@
 	mux.HandleFunc("POST /registry/leases/{name}/acquire", r.writeHandler("lease", r.acquire))
 	mux.HandleFunc("POST /registry/leases/{name}/release", r.writeHandler("lease", r.release))
 	mux.HandleFunc("POST /registry/leases/{name}/renew", r.serveRenew)
+	mux.HandleFunc("GET /registry/fleet/view", r.serveView)
+	mux.HandleFunc("POST /registry/fleet/reports", r.serveReport)
+	mux.HandleFunc("GET /registry/fleet/sessions/{node}", r.serveSession)
+	mux.HandleFunc("POST /registry/fleet/sessions", r.writeHandler("session", r.openSession))
+	mux.HandleFunc("DELETE /registry/fleet/sessions/{node}", r.writeHandler("", r.closeSession))
 	calls := make(chan struct{}, r.cfg.MaxCalls)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		select {
--- a/internal/registry/lease_http.go
+++ b/internal/registry/lease_http.go
@@ -110,12 +110,7 @@
 func (r *Replica) dueLeases(s *State, now time.Time) []machine.Command {
 	var due []machine.Command
 	for name, l := range s.Leases {
-		last, ok := r.beats[leaseKey(name)]
-		if !ok {
-			r.beats[leaseKey(name)] = now // new to this leader: a full TTL from now
-			continue
-		}
-		if now.Sub(last) > time.Duration(l.TTLms)*time.Millisecond {
+		if r.overdue(leaseKey(name), l.TTLms, now) {
 			due = append(due, &LeaseCommand{Op: "lease-expire", Lease: Lease{Name: name, Token: l.Token}})
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -66,6 +66,10 @@
 func newCluster(t testing.TB, n int) *cluster { return newClusterWith(t, n, false) }
 
 func newClusterWith(t testing.TB, n int, ackEarly bool) *cluster {
+	return newClusterFor(t, n, ackEarly, fleetInterval)
+}
+
+func newClusterFor(t testing.TB, n int, ackEarly bool, interval time.Duration) *cluster {
 	t.Helper()
 	c := &cluster{t: t, ackEarly: ackEarly, replicas: make([]*Replica, n), stops: make([]func(), n)}
 	var peers []Peer
@@ -78,6 +82,7 @@
 	for i := range n {
 		cfg := testConfig(peers[i].ID, t.TempDir())
 		cfg.Raft, cfg.HTTP, cfg.Peers = peers[i].Raft, peers[i].HTTP, peers
+		cfg.FleetInterval.Duration = interval
 		c.cfgs, c.http = append(c.cfgs, cfg), append(c.http, cfg.HTTP)
 		c.open(i, raftLn[i], httpLn[i])
 	}
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -20,6 +20,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
+	"glencart/internal/fleet"
 	"glencart/internal/machine"
 )
 
@@ -141,6 +142,9 @@
 	trans   *raft.NetworkTransport
 	metrics *metrics
 
+	sessions *fleet.Sessions // in the state; read under the fsm's lock
+	fleet    *fleetSide
+
 	watching atomic.Int64 // watches waiting now
 	// readyTerm is the term in which this replica, as leader, applied everything committed before it led (a
 	// barrier): until then a new leader's state may lack acknowledged writes of the old one, and it must not read.
@@ -168,8 +172,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("raft store: %w", err)
 	}
-	r := &Replica{cfg: cfg, log: log.With("component", "registry", "node", cfg.ID), store: store,
-		fsm: &fsm{st: NewState(cfg.Ring), notify: make(chan struct{})}, beats: map[string]time.Time{}}
+	sessions := fleet.NewSessions()
+	r := &Replica{cfg: cfg, log: log.With("component", "registry", "node", cfg.ID), store: store, sessions: sessions,
+		fsm: &fsm{st: NewState(cfg.Ring, sessions), notify: make(chan struct{})}, beats: map[string]time.Time{},
+		fleet: newFleetSide(cfg.FleetInterval.Duration)}
 	r.metrics = newMetrics(r)
 	if err := r.start(ln); err != nil {
 		store.Close()
@@ -206,6 +212,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.wg.Go(func() { r.keepTTLs(ctx) })
+	r.wg.Go(func() { r.compileViews(ctx) })
 	return nil
 }
 
@@ -362,6 +369,17 @@
 	r.log.Info("leading", "term", term)
 }
 
+// overdue tells whether nothing kept a TTL for as long; what is new to this leader has a full TTL from now. Called with
+// beatMu held.
+func (r *Replica) overdue(key string, ttlMs int64, now time.Time) bool {
+	last, ok := r.beats[key]
+	if !ok {
+		r.beats[key] = now
+		return false
+	}
+	return now.Sub(last) > time.Duration(ttlMs)*time.Millisecond
+}
+
 func (r *Replica) expire() {
 	now := time.Now()
 	var due []machine.Command
@@ -369,19 +387,11 @@
 		r.beatMu.Lock()
 		defer r.beatMu.Unlock()
 		for id, e := range s.Members {
-			ttl := time.Duration(e.TTLms) * time.Millisecond
-			if ttl <= 0 {
-				continue
-			}
-			last, ok := r.beats[id]
-			if !ok {
-				r.beats[id] = now // new to this leader: a full TTL from now
-				continue
-			}
-			if now.Sub(last) > ttl {
+			if e.TTLms > 0 && r.overdue(id, e.TTLms, now) {
 				due = append(due, &MemberCommand{Op: "expire", ID: id, Seen: e.Changed})
 			}
 		}
+		due = append(due, r.dueSessions(now)...)
 		due = append(due, r.dueLeases(s, now)...)
 	})
 	for _, c := range due {
