Take part in the fleet's view: node agent, lab experiment, timelines drawn as text

Change: the node reports clients' connections, descriptors, its share of a core, refused and failed, what its module found of backends (Loads), and its heaviest tenants by connections and by work; GET /admin/fleet tells how its agent stands. The lab's fleet experiment draws faults between real nodes and replicas and takes down what every reader sees; timeline.txt shows it, a column a process. Without the key: no agent, no hook, no goroutine, no connection (tested).

--- a/balance/signs.go
+++ b/balance/signs.go
@@ -125,3 +125,11 @@
 	}
 	return st
 }
+
+// Loads tells of the servers that this node keeps to, by id.
+func (b *Balancer) Loads() (out []ServerLoad) {
+	for _, s := range b.ready {
+		out = append(out, ServerLoad{s.Backend, b.entry(s), s.out, s.fails})
+	}
+	return out
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -304,3 +304,11 @@
 	Payload []byte
 	Text    string
 }
+
+// ServerLoad is what a node has found of one server.
+type ServerLoad struct {
+	Backend     BackendID
+	Estimate    float64 // of its queue, requests of all nodes
+	Outstanding float64 // this node's attempts there
+	Failures    float64 // the rate of failures, 0 to 1
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -39,6 +40,8 @@
 	Cordon(ctx context.Context, id string, out bool) error
 	// Metrics serves the figures in Prometheus's text form.
 	Metrics() http.Handler
+	// Fleet tells of the node's part in the fleet's view, as JSON has it; false where it has none.
+	Fleet() (status any, ok bool)
 }
 
 // Server is the second address.
@@ -93,6 +96,15 @@
 		n.Figures(w)
 	})
 	mux.Handle("GET /metrics", n.Metrics())
+	mux.HandleFunc("GET /admin/fleet", func(w http.ResponseWriter, _ *http.Request) {
+		status, ok := n.Fleet()
+		if !ok {
+			http.Error(w, "no part in a fleet: the configuration has no key fleet", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(status)
+	})
 	change := func(out bool) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), changeWithin)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -24,6 +24,7 @@
 func (f *fakeNode) Figures(w io.Writer) { fmt.Fprintln(w, "edge_balancer.pending=14") }
 
 func (f *fakeNode) Metrics() http.Handler { return http.NotFoundHandler() }
+func (f *fakeNode) Fleet() (any, bool)    { return nil, false }
 
 func (f *fakeNode) Cordon(_ context.Context, id string, out bool) error {
 	switch id {
--- a/internal/lab/duty.go
+++ b/internal/lab/duty.go
@@ -149,18 +149,23 @@
 	if lead < 0 {
 		return pl, errors.New("no leader to kill")
 	}
-	p := l.procs["registry"][lead]
-	pl.Target = p.Name
+	pl.Target = l.procs["registry"][lead].Name
+	return pl, l.restartAfterElection(ctx, lead)
+}
+
+// restartAfterElection kills a replica, waits for a leader among the others, and starts it again on its data.
+func (l *cluster) restartAfterElection(ctx context.Context, m int) error {
+	p := l.procs["registry"][m]
 	exited := p.Exited()
 	p.Signal(syscall.SIGKILL)
 	<-exited
 	if err := l.waitLeader(ctx); err != nil {
-		return pl, err
+		return err
 	}
 	if err := p.Start(l.spawn); err != nil {
-		return pl, err
+		return err
 	}
-	return pl, waitReady(ctx, p, l.registryAddr[lead], "/registry/status")
+	return waitReady(ctx, p, l.registryAddr[m], "/registry/status")
 }
 
 // leaderIndex is the replica that says it leads, waiting for one; -1 after 20 s.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,5 +25,8 @@
 	if s.Duty != nil {
 		return (&dutyRun{cluster: c, s: s}).run(ctx)
 	}
+	if s.Fleet != nil {
+		return (&fleetRun{loadRun: &loadRun{cluster: c, s: s}}).run(ctx)
+	}
 	return (&loadRun{cluster: c, s: s}).run(ctx)
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-const fleet = `
+const nodesUnderLoad = `
 name = "test"
 seed = 3
 duration = "5s"
@@ -97,7 +97,7 @@
 // none runs twice, and the drained backend gets nothing past the grace.
 func TestKilledBackendAndPausedNodeKeepTheInvariants(t *testing.T) {
 	t.Parallel()
-	r := runScenario(t, fleet+`
+	r := runScenario(t, nodesUnderLoad+`
 twice = false
 [[fault]]
 at = "1s"
@@ -125,7 +125,7 @@
 // A backend that runs every POST twice must fail the check on double effects.
 func TestPlantedDoubleEffectIsCaught(t *testing.T) {
 	t.Parallel()
-	r := runScenario(t, fleet+"twice = true\n")
+	r := runScenario(t, nodesUnderLoad+"twice = true\n")
 	for _, c := range r.Checks {
 		if strings.Contains(c.Name, "twice") && c.OK {
 			t.Fatalf("%s passed over %d executions", c.Name, r.Runs)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -77,7 +77,11 @@
 // listInRegistry starts the replicas and registers every backend there at a proxy of its own, which all nodes
 // share: the registry tells every node the same host_port.
 func (l *loadRun) listInRegistry(ctx context.Context, members []Member) error {
-	if err := l.startRegistries(ctx, l.s.Registries); err != nil {
+	var keys []string
+	if f := l.s.Fleet; f != nil {
+		keys = []string{fmt.Sprintf("fleet_interval = %q", f.Interval)}
+	}
+	if err := l.startRegistries(ctx, l.s.Registries, keys...); err != nil {
 		return err
 	}
 	for j := range members {
@@ -161,6 +165,9 @@
 	if len(registry) > 0 {
 		c["registry"] = registry
 	}
+	if f := l.s.Fleet; f != nil {
+		c["fleet"] = map[string]any{"registry": registry, "site": fmt.Sprintf("site-%d", i%f.Sites), "interval_ms": f.Interval.Milliseconds()}
+	}
 	text, _ := json.Marshal(c) // maps of plain values always encode
 	return text
 }
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -96,6 +96,13 @@
 	return nil
 }
 
+// starts is how often the process was started.
+func (p *Proc) starts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
 // Exited is closed when the current run of the process ends; nil where it does not run.
 func (p *Proc) Exited() <-chan struct{} {
 	p.mu.Lock()
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -32,9 +32,9 @@
 	Revision  int64
 }
 
-// startRegistries starts n replicas and waits for a leader. Raft's link from replica i to replica m is the proxy
+// startRegistries starts n replicas, with further keys of their configuration, and waits for a leader. Raft's link from replica i to replica m is the proxy
 // "registry-i:registry-m": each replica dials from an address of its own, by which the fan before its peer tells it.
-func (l *cluster) startRegistries(ctx context.Context, n int) error {
+func (l *cluster) startRegistries(ctx context.Context, n int, keys ...string) error {
 	type replica struct{ http, raft, from, advertised string }
 	rs := make([]replica, n)
 	var peers strings.Builder
@@ -59,8 +59,8 @@
 	for i, r := range rs {
 		name := fmt.Sprintf("registry-%d", i)
 		conf := l.path("%s.toml", name)
-		text := fmt.Sprintf("id = %q\ndata_dir = %q\nhttp = %q\nraft = %q\nraft_listen = %q\nraft_from = %q\nbootstrap = true\nstale_read = \"1s\"\n%s%s",
-			name, l.path("%s.data", name), r.http, r.advertised, r.raft, r.from, registryTiming, peers.String())
+		text := fmt.Sprintf("id = %q\ndata_dir = %q\nhttp = %q\nraft = %q\nraft_listen = %q\nraft_from = %q\nbootstrap = true\nstale_read = \"1s\"\n%s\n%s%s",
+			name, l.path("%s.data", name), r.http, r.advertised, r.raft, r.from, strings.Join(keys, "\n"), registryTiming, peers.String())
 		if err := os.WriteFile(conf, []byte(text), 0o644); err != nil {
 			return err
 		}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -48,6 +48,8 @@
 	Propagation Spread `json:"propagation_ms"`
 	// Duty holds a lease scenario's figures; such a run has no load, so its only plot is of takeovers.
 	Duty *DutyFigures `json:"duty,omitempty"`
+	// Timeline is what each process did, drawn as text; it is written to a file of its own.
+	Timeline string `json:"-"`
 }
 
 // Spread sums up a sample: its size, median, 99th percentile and largest value.
@@ -127,6 +129,9 @@
 	if r.Duty != nil {
 		return r.Duty.plot(filepath.Join(dir, "takeover.png"), r.Scenario)
 	}
+	if len(r.Seconds) == 0 {
+		return nil // no load, nothing to plot
+	}
 	for _, p := range []struct {
 		file, title, unit string
 		lines             map[string]func(Second) float64
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -31,6 +31,8 @@
 	// Duty, where set, makes the run a lease scenario: registry replicas and candidates for one duty, under
 	// faults drawn from the seed, instead of nodes under load (see Duty).
 	Duty *Duty `toml:"duty"`
+	// Fleet, where set, makes the run one of the fleet's shared view, under faults drawn from the seed (see Fleet).
+	Fleet *Fleet `toml:"fleet"`
 }
 
 // Duty is a lease scenario: Candidates processes want one duty with a TTL; each does Work between its check of
@@ -162,6 +164,11 @@
 	case s.Backend.Errors < 0 || s.Backend.Errors > 1:
 		return tomlconf.Bad("backend.errors", "%g is outside 0 to 1", s.Backend.Errors)
 	}
+	if s.Fleet != nil {
+		if err := s.Fleet.check(s); err != nil {
+			return err
+		}
+	}
 	for i, f := range s.Faults {
 		if err := s.checkFault(f); err != nil {
 			return fmt.Errorf("fault %d (%s at %s): %w", i+1, f.Kind, f.At, err)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -58,6 +58,7 @@
 	handed   atomic.Bool // another process accepts its connections
 	large    bool        // bodies may be large
 	kept     *budget     // of requests kept whole
+	fleet    *fleetPart  // nil: none
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
@@ -104,12 +105,22 @@
 		f.conns[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(f.conns, c)
+		if b, ok := c.(*boundedConn); ok && f.fleet != nil {
+			f.fleet.closed(b.framed)
+		}
 	}
 	if s == http.StateNew && len(f.conns) > f.crowded {
 		f.giveWay()
 	}
 }
 
+// held is how many connections of clients there are.
+func (f *front) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 // giveWay ends the connection that has kept the node waiting longest. It tells whether there was one.
 func (f *front) giveWay() bool {
 	oldest := f.longestIdle()
@@ -245,6 +256,9 @@
 		return
 	}
 	defer f.kept.give(int64(len(r.message.body)))
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok && f.fleet != nil {
+		f.fleet.asked(c, r)
+	}
 	if r.message.open != nil {
 		// The answer may come before the body's end, and nothing can follow it then.
 		w.Header().Set("Connection", "close")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,6 +27,36 @@
 	PeersAll   string
 	Known      List
 	Settings   settings.Settings
+	Fleet      *FleetConfig // nil: this node has no part in the fleet's view
+}
+
+// FleetConfig is a node's part in the fleet's shared view; it is off unless the key `fleet` is there.
+type FleetConfig struct {
+	Registry   []string `json:"registry"`    // every replica
+	Site       string   `json:"site"`        // where the node stands
+	IntervalMs int64    `json:"interval_ms"` // between two reports; the registry's fleet_interval; 0: 1000
+	Tenants    int      `json:"tenants"`     // counters of the sketch of heavy tenants; 0: 64
+}
+
+func (c *FleetConfig) check() error {
+	if c == nil {
+		return nil
+	}
+	if c.IntervalMs == 0 {
+		c.IntervalMs = 1000
+	}
+	if c.Tenants == 0 {
+		c.Tenants = 64
+	}
+	switch {
+	case len(c.Registry) == 0:
+		return errors.New("fleet.registry: no replica named")
+	case c.IntervalMs < 10 || c.IntervalMs > 60_000:
+		return fmt.Errorf("fleet.interval_ms: %d is outside 10 to 60000", c.IntervalMs)
+	case c.Tenants < 1 || c.Tenants > 4096:
+		return fmt.Errorf("fleet.tenants: %d is outside 1 to 4096", c.Tenants)
+	}
+	return nil
 }
 
 // Limits are those of the machine that a node runs on. Zero: not told.
@@ -67,12 +97,13 @@
 		PeersAll   string          `json:"peers_all"`
 		Known      json.RawMessage `json:"known"`
 		Settings   json.RawMessage `json:"settings"`
+		Fleet      *FleetConfig    `json:"fleet"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
 	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Registry: raw.Registry, Admin: raw.Admin, StateDir: os.TempDir(), Limits: raw.Limits,
-		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
+		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll, Fleet: raw.Fleet}
 	var err error
 	if raw.Seed != "" {
 		if cfg.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
@@ -117,10 +148,17 @@
 			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.addr)
 		}
 	}
+	if err := c.Fleet.check(); err != nil {
+		return err
+	}
+	var replicas []string
+	if c.Fleet != nil {
+		replicas = c.Fleet.Registry
+	}
 	for _, list := range []struct {
 		name  string
 		addrs []string
-	}{{"peers", c.Peers}, {"registry", c.Registry}} {
+	}{{"peers", c.Peers}, {"registry", c.Registry}, {"fleet.registry", replicas}} {
 		for _, a := range list.addrs {
 			if _, err := netip.ParseAddrPort(a); err != nil {
 				return fmt.Errorf("%s: %q is not an address with a port", list.name, a)
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"glencart/internal/fleet"
+)
+
+// Without the key a node has nothing of the fleet: no agent, no hook, no goroutine, no connection, no call.
+func TestNoFleetWithoutItsKey(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	n := startAdmin(t, listText(1, true, listed{"s", b.Addr().String(), "ready", 0}))
+	eventually(t, "readiness", n.loop.ready.Load)
+	do(t, ask(t, n.url+"/api/x", "read"))
+	if n.fleet != nil || n.front.fleet != nil || n.loop.worked != nil {
+		t.Error("a part in the fleet without the key")
+	}
+	stacks := make([]byte, 4<<20)
+	if stacks = stacks[:runtime.Stack(stacks, true)]; strings.Contains(string(stacks), "glencart/internal/fleet.") {
+		t.Error("a goroutine of the fleet runs")
+	}
+	if resp, _ := do(t, adminCall(t, n, "GET", "/admin/fleet")); resp.StatusCode != http.StatusNotFound {
+		t.Errorf("/admin/fleet answers %d", resp.StatusCode)
+	}
+}
+
+// The key is checked, and what is wrong is named.
+func TestFleetKeyIsChecked(t *testing.T) {
+	for text, want := range map[string]string{
+		`{}`:                    "fleet.registry: no replica",
+		`{"registry":["here"]}`: `fleet.registry: "here"`,
+		`{"registry":["127.0.0.1:1"],"interval_ms":5}`:      "fleet.interval_ms: 5",
+		`{"registry":["127.0.0.1:1"],"tenants":-1}`:         "fleet.tenants: -1",
+		`{"registry":["127.0.0.1:1"],"site":"a"}`:           "",
+		`{"registry":["127.0.0.1:1"],"interval_ms":"soon"}`: "interval_ms",
+	} {
+		cfg, err := ParseConfig([]byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","fleet":` + text + `,"settings":` + testSettings + `}`))
+		switch {
+		case want == "" && (err != nil || cfg.Fleet.IntervalMs != 1000 || cfg.Fleet.Tenants != 64):
+			t.Errorf("%s: %v, %+v", text, err, cfg.Fleet)
+		case want != "" && (err == nil || !strings.Contains(err.Error(), want)):
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
+
+// A report tells what clients hold by tenant, what backends have done for each, and what the module found of backends.
+func TestReportTellsOfTenantsAndBackends(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+		time.Sleep(5 * time.Millisecond)
+		return ok200("x")
+	}))
+	text := listText(1, true, listed{"s-a", b.Addr().String(), "ready", 0})
+	cfg := testConfig(t, newRegistry(t, text).addr, text)
+	cfg.Fleet = &FleetConfig{Registry: []string{"127.0.0.1:1"}, Site: "a"}
+	if err := cfg.check(); err != nil {
+		t.Fatal(err)
+	}
+	n := start(t, cfg)
+	eventually(t, "readiness", n.loop.ready.Load)
+	clients := make([]*http.Client, 3)
+	for i := range clients {
+		clients[i] = &http.Client{Transport: &http.Transport{}}
+		resp, err := clients[i].Do(ask(t, n.url+"/api/x", "read"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	r := n.fleet.report()
+	conns := func(r fleet.Report) float64 {
+		if i := slices.IndexFunc(r.ByConns, func(h fleet.Heavy) bool { return h.Key == "acme" }); i >= 0 {
+			return r.ByConns[i].Weight
+		}
+		return 0
+	}
+	if conns(r) != 3 || r.Figures.Connections < 3 || r.Figures.Descriptors <= r.Figures.Connections || r.Figures.Allowed == 0 {
+		t.Errorf("%+v", r)
+	}
+	if len(r.ByWork) != 1 || r.ByWork[0].Key != "acme" || r.ByWork[0].Weight < 0.010 {
+		t.Errorf("work %+v", r.ByWork)
+	}
+	if len(r.Backends) != 1 || r.Backends[0].ID != "s-a" {
+		t.Errorf("backends %+v", r.Backends)
+	}
+	for _, c := range clients {
+		c.CloseIdleConnections()
+	}
+	eventually(t, "the ends of the connections", func() bool { return conns(n.fleet.report()) == 0 })
+	if again := n.fleet.report(); len(again.ByWork) != 0 {
+		t.Errorf("work is told twice: %+v", again.ByWork)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -24,7 +24,8 @@
 	back      *exchanges
 	askAbout  func(balance.ActionKind) // passes Watch, Unwatch and Fetch on
 	tellPeers func(peer int, payload []byte)
-	askedOf   func() int64 // calls of discovery since it was last asked
+	askedOf   func() int64                          // calls of discovery since it was last asked
+	worked    func(r *request, spent time.Duration) // a backend has served; nil: nobody asks
 
 	requests map[string]*request
 	backends map[string]*backend // by discovery's id
@@ -317,6 +318,9 @@
 	if res.status == balance.Delivered && !r.answered {
 		r.answered = true
 		l.counts.answers[served]++
+		if l.worked != nil {
+			l.worked(r, l.now()-at.sent)
+		}
 		r.reply <- answer{kind: served, body: res.body, contentType: res.contentType, stream: res.stream}
 	}
 	l.forget(r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	admin    *admin.Server // nil: none is told
 	cordons  *cordonFile   // where there is an admin
 	handing  *handing      // likewise
+	fleet    *fleetPart    // where the configuration has a part in the fleet
 
 	firstList time.Duration // how long Run waits for a pushed list before the node is ready without
 }
@@ -98,6 +99,9 @@
 		}
 		n.loop.tellPeers = n.peers.tell
 	}
+	if cfg.Fleet != nil {
+		n.fleet = newFleetPart(n)
+	}
 	if err := n.listen(); err != nil {
 		n.close()
 		return nil, err
@@ -184,6 +188,9 @@
 			})
 		})
 	}
+	if n.fleet != nil {
+		wg.Go(func() { n.fleet.run(work) })
+	}
 	srv := n.front.server()
 	ended := make(chan error, 2)
 	go func() { ended <- srv.Serve(n.listener) }()
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -16,3 +16,10 @@
 func (t told) Figures(w io.Writer) { t.n.figures.write(w) }
 
 func (t told) Metrics() http.Handler { return t.n.metrics.handler() }
+
+func (t told) Fleet() (any, bool) {
+	if t.n.fleet == nil {
+		return nil, false
+	}
+	return t.n.fleet.agent.Status(), true
+}
