Add the rota: turns of machines whose rules hold in the replicated record's Apply

Change: internal/rota is a machine of the registry's state: requests that merge, budgets by all, site and cell, floors by site, an order settled from the costs in the leader's view of one epoch with age against starvation and rendezvous ties, and turns from waiting to done by compare-and-set. Grants, quiet (every open session's present process has confirmed, at the draining's revision or later), overdue and withdrawal are decided by Apply alone. Calls under /registry/rota.

--- a/cmd/hitchvale/problems_test.go
+++ b/cmd/hitchvale/problems_test.go
@@ -10,6 +10,7 @@
 	"glencart/internal/fleet"
 	"glencart/internal/problem"
 	"glencart/internal/registry"
+	"glencart/internal/rota"
 )
 
 // Every kind of error has a remedy and a row of its own in docs/oncall.md, and no row is left of one that is gone.
@@ -20,7 +21,7 @@
 	}
 	var want []string
 	seen := map[string]bool{}
-	for _, e := range slices.Concat(registry.Problems(), fleet.Problems()) {
+	for _, e := range slices.Concat(registry.Problems(), fleet.Problems(), rota.Problems()) {
 		if e.Remedy == "" || e.Means == "" || e.Status < 400 || seen[e.Code] {
 			t.Errorf("%+v: no remedy, no meaning, no status or no code of its own", e)
 		}
--- a/internal/registry/fleet.go
+++ b/internal/registry/fleet.go
@@ -33,6 +33,7 @@
 	stamp        fleet.Stamp
 	text, zipped []byte
 	at           time.Time
+	backends     []fleet.BackendView
 }
 
 func newFleetSide(interval time.Duration) *fleetSide {
@@ -88,7 +89,7 @@
 		r.log.Error("view not encoded", "error", err)
 		return
 	}
-	f.view = &publishedView{stamp: v.Stamp, text: text, zipped: zipped(text), at: time.Now()}
+	f.view = &publishedView{stamp: v.Stamp, text: text, zipped: zipped(text), at: time.Now(), backends: v.Backends}
 	close(f.next)
 	f.next = make(chan struct{})
 }
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -36,6 +36,7 @@
 //	GET    /registry/status                       this replica's role, leader and revision
 //	*      /registry/leases...                    leases (lease_http.go)
 //	*      /registry/fleet...                     sessions, reports and the view (fleet.go)
+//	*      /registry/rota...                      turns of machines (rota.go)
 //
 // Writes answer 200 {"revision":R} once applied; else {"code":...,"error":...,"remedy":...}: 400 for bad input, changing
 // nothing; 404 for an unknown id; 409 where the state forbids it; 503 where no leader can take it. Over max_calls at
@@ -58,6 +59,7 @@
 	mux.HandleFunc("GET /registry/fleet/sessions/{node}", r.serveSession)
 	mux.HandleFunc("POST /registry/fleet/sessions", r.writeHandler("session", r.openSession))
 	mux.HandleFunc("DELETE /registry/fleet/sessions/{node}", r.writeHandler("", r.closeSession))
+	r.routeRota(mux)
 	calls := make(chan struct{}, r.cfg.MaxCalls)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		select {
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -22,6 +22,7 @@
 
 	"glencart/internal/fleet"
 	"glencart/internal/machine"
+	"glencart/internal/rota"
 )
 
 // applyWithin bounds how long a write waits to be committed and applied.
@@ -143,6 +144,7 @@
 	metrics *metrics
 
 	sessions *fleet.Sessions // in the state; read under the fsm's lock
+	rota     *rota.Rota      // likewise
 	fleet    *fleetSide
 
 	watching atomic.Int64 // watches waiting now
@@ -173,8 +175,12 @@
 		return nil, fmt.Errorf("raft store: %w", err)
 	}
 	sessions := fleet.NewSessions()
+	state := NewState(cfg.Ring, sessions)
+	turns := rota.New(listOf{state.members}, nodesOf{sessions})
+	state.add(turns)
 	r := &Replica{cfg: cfg, log: log.With("component", "registry", "node", cfg.ID), store: store, sessions: sessions,
-		fsm: &fsm{st: NewState(cfg.Ring, sessions), notify: make(chan struct{})}, beats: map[string]time.Time{},
+		rota: turns,
+		fsm:  &fsm{st: state, notify: make(chan struct{})}, beats: map[string]time.Time{},
 		fleet: newFleetSide(cfg.FleetInterval.Duration)}
 	r.metrics = newMetrics(r)
 	if err := r.start(ln); err != nil {
--- /dev/null
+++ b/internal/registry/rota_test.go
@@ -0,0 +1,147 @@
+package registry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"glencart/internal/rota"
+)
+
+// rotaState is what GET /registry/rota answers.
+type rotaState struct {
+	Revision int64
+	Order    []string
+	Turns    []rota.Turn
+}
+
+func rotaCall(t *testing.T, method, url string, body any, out any) (status int, code string) {
+	t.Helper()
+	text, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, _ := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(text))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var e struct{ Code string }
+	var raw json.RawMessage
+	json.NewDecoder(resp.Body).Decode(&raw)
+	json.Unmarshal(raw, &e)
+	if out != nil && resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(raw, out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return resp.StatusCode, e.Code
+}
+
+// A machine's whole turn over HTTP on three replicas, each call to another one: asked for by selector, its order settled
+// on the view alone, granted, draining in the list, quiet once both nodes have confirmed, out, listed again, done; and
+// what the rules forbid on the way is refused with its code.
+func TestTurnOverHTTP(t *testing.T) {
+	c := newClusterWith(t, 3, false)
+	asked := 0
+	url := func(path string) string {
+		asked++
+		return "http://" + c.http[asked%3] + path
+	}
+	expect := func(what string, status int, code string, wantStatus int, wantCode string) {
+		t.Helper()
+		if status != wantStatus || code != wantCode {
+			t.Fatalf("%s: %d %q, want %d %q", what, status, code, wantStatus, wantCode)
+		}
+	}
+	a, _ := testAgent(t, "n0", "p", c.http)
+	testAgent(t, "n1", "p", c.http)
+	await(t, "two fresh nodes", allFresh(a, 2))
+	for i := range 3 {
+		m := Member{ID: fmt.Sprint("s-", i), HostPort: "127.0.0.1:1", Locality: "a", Cell: i, Size: 1, UpSince: 1}
+		status, code := rotaCall(t, "POST", url("/registry/members"), map[string]any{"member": m}, nil)
+		expect("register", status, code, 200, "")
+	}
+	ask := map[string]any{"id": "q", "select": map[string]any{"site": "a"}, "reason": "kernel", "length_ms": 1000,
+		"budget": map[string]int{"all": 1}, "floor": map[string]float64{"a": 3}}
+	status, code := rotaCall(t, "POST", url("/registry/rota/requests"), ask, nil)
+	expect("a floor that can never be met", status, code, 409, "rota.under-floor")
+	ask["floor"] = map[string]float64{"a": 2}
+	status, code = rotaCall(t, "POST", url("/registry/rota/requests"), ask, nil)
+	expect("the request", status, code, 200, "")
+	step := func(id string, to rota.State, rev int64) (int, string) {
+		return rotaCall(t, "POST", url("/registry/rota/machines/"+id+"/step"), rota.Command{To: to, Rev: rev}, nil)
+	}
+	var s rotaState
+	read := func() map[string]rota.Turn {
+		t.Helper()
+		status, code := rotaCall(t, "GET", url("/registry/rota"), nil, &s)
+		expect("read", status, code, 200, "")
+		out := map[string]rota.Turn{}
+		for _, x := range s.Turns {
+			out[x.Machine] = x
+		}
+		return out
+	}
+	status, code = step("s-0", rota.Granted, read()["s-0"].Rev)
+	expect("a grant before an order is settled", status, code, 409, "rota.out-of-order")
+	await(t, "a settled order", func() bool {
+		status, _ := rotaCall(t, "POST", url("/registry/rota/settle"), a.Status().View, nil)
+		return status == 200
+	})
+	// The nodes tell of s-1 alone (testAgent): what nobody tells of goes behind it.
+	if read(); len(s.Order) != 3 || s.Order[0] != "s-1" {
+		t.Fatalf("order %v", s.Order)
+	}
+	id := s.Order[0]
+	status, code = step(s.Order[1], rota.Granted, read()[s.Order[1]].Rev)
+	expect("the second in order", status, code, 409, "rota.out-of-order")
+	for _, to := range []rota.State{rota.Granted, rota.Draining} {
+		status, code = step(id, to, read()[id].Rev)
+		expect(string(to), status, code, 200, "")
+	}
+	status, code = step(s.Order[0], rota.Granted, read()[s.Order[0]].Rev)
+	expect("over the budget", status, code, 409, "rota.over-budget")
+	phase := func() string {
+		var l List
+		rotaCall(t, "GET", url("/registry/instances"), nil, &l)
+		for _, m := range l.Members {
+			if m.ID == id {
+				return m.Phase
+			}
+		}
+		return ""
+	}
+	await(t, "the list saying draining", func() bool { return phase() == Draining })
+	for i, n := range []string{"n0", "n1"} {
+		status, code = step(id, rota.Quiet, read()[id].Rev)
+		expect("quiet without "+n, status, code, 409, "rota.unconfirmed")
+		status, code = rotaCall(t, "POST", url("/registry/rota/machines/"+id+"/confirm"),
+			rota.Command{Node: n, Incarnation: 1, Held: read()[id].Drained - 1}, nil)
+		expect("a confirmation of an older list", status, code, 409, "rota.no-such-step")
+		status, code = rotaCall(t, "POST", url("/registry/rota/machines/"+id+"/confirm"),
+			rota.Command{Node: n, Incarnation: 1, Held: read()[id].Drained}, nil)
+		expect(fmt.Sprint("confirmation ", i), status, code, 200, "")
+	}
+	for _, to := range []rota.State{rota.Quiet, rota.Out, rota.Returning} {
+		status, code = step(id, to, read()[id].Rev)
+		expect(string(to), status, code, 200, "")
+	}
+	await(t, "the list saying ready", func() bool { return phase() == Ready })
+	stale := read()[id].Rev - 1
+	status, code = step(id, rota.Done, stale)
+	expect("a step from what was before", status, code, 409, "rota.changed-since")
+	status, code = step(id, rota.Done, read()[id].Rev)
+	expect("done", status, code, 200, "")
+	if _, ok := read()[id]; ok {
+		t.Error("a turn that is done is kept")
+	}
+	status, code = rotaCall(t, "DELETE", url("/registry/rota/requests/q"), nil, nil)
+	expect("withdraw", status, code, 200, "")
+	if read(); len(s.Turns) != 0 {
+		t.Errorf("left: %+v", s.Turns)
+	}
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -39,13 +39,18 @@
 func NewState(ringCap int, more ...machine.Machine) *State {
 	l := newLeases()
 	s := &State{leases: l, members: newMembers(ringCap, l.fence), byOp: map[string]machine.Machine{}}
-	for _, m := range append([]machine.Machine{s.members, s.leases}, more...) {
+	s.add(append([]machine.Machine{s.members, s.leases}, more...)...)
+	return s
+}
+
+// add puts further kinds of records into the state, before the first command.
+func (s *State) add(more ...machine.Machine) {
+	for _, m := range more {
 		s.machines = append(s.machines, m)
 		for op := range m.Commands() {
 			s.byOp[op] = m
 		}
 	}
-	return s
 }
 
 // EncodeCommand is a command as the log holds it.
--- /dev/null
+++ b/internal/rota/errors.go
@@ -0,0 +1,39 @@
+package rota
+
+import (
+	"net/http"
+
+	"glencart/internal/problem"
+)
+
+type marker struct{}
+
+// Error is an error of the rota; its kinds stand below and in docs/oncall.md.
+type Error = problem.Error[marker]
+
+var problems problem.Set[marker]
+
+// The kinds of errors. Each changes nothing.
+var (
+	ErrMalformed = problems.Define("rota.malformed", http.StatusBadRequest,
+		"the request is not well formed", "correct the field that the error names")
+	ErrUnknown = problems.Define("rota.unknown", http.StatusNotFound,
+		"no such machine or request", "read GET /registry/rota for those there are")
+	ErrChanged = problems.Define("rota.changed-since", http.StatusConflict,
+		"the turn has changed since it was read", "nothing: another node took the step; read again")
+	ErrStep = problems.Define("rota.no-such-step", http.StatusConflict,
+		"the turn does not go that way", "read GET /registry/rota: a turn goes waiting, granted, draining, quiet, out, returning, done")
+	ErrOrder = problems.Define("rota.out-of-order", http.StatusConflict,
+		"another machine goes first in the settled order", "nothing: it waits for its turn; GET /registry/rota tells the order")
+	ErrBudget = problems.Define("rota.over-budget", http.StatusConflict,
+		"as many machines are out as the budget allows", "bring one back or raise the budget; an overdue one is freed by an operator's word alone")
+	ErrFloor = problems.Define("rota.under-floor", http.StatusConflict,
+		"the site would have less ready capacity than its floor", "bring machines back, add capacity, or lower the floor")
+	ErrUnconfirmed = problems.Define("rota.unconfirmed", http.StatusConflict,
+		"a live node has not confirmed that it has nothing open there", "look at the nodes named: a paused one is excused once its session ends")
+	ErrSession = problems.Define("rota.no-session", http.StatusConflict,
+		"the node that confirms does not hold its name", "nothing: a newer process of the node confirms")
+)
+
+// Problems are the kinds of errors that this package gives.
+func Problems() []problem.Entry { return problems.Entries() }
