Take machines out for work by turns that the nodes take among themselves

Change: rota.Next is pure: a node confirms what is quiet here, and proposes a step once the turn has stood for as many views as its rank for it, so that one proposes and the next does where that one is gone. The node follows the board between two reports where the view tells of turns; it confirms only what the loop says is not open, streamed answers included. A watch of the list is no longer woken by other records' revisions: 300 confirmations would have woken 300 watches each. The lab's work experiment has every backend out and back under load: the operator's part is ending the process, starting it and listing it again.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -20,6 +20,9 @@
 	Node, Site, Address string
 	Interval            time.Duration // between two reports, the registry's own interval
 	TTL                 time.Duration // of the session; 0: five intervals
+	// OnView, where set, is called with each new view and the incarnation of the session, between two reports; it must
+	// return within an interval or so.
+	OnView func(ctx context.Context, v View, incarnation uint64)
 }
 
 // retryMost bounds the wait after a failed call, in intervals.
@@ -106,12 +109,21 @@
 	if err != nil || !came {
 		return err
 	}
+	if a.take(v) && a.cfg.OnView != nil {
+		a.cfg.OnView(ctx, v, a.incarnation)
+	}
+	return nil
+}
+
+// take keeps a view unless it is no newer than the one held: an answer of a leader that no longer is one may come late.
+func (a *Agent) take(v View) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.view.Stamp.Before(v.Stamp) { // an answer of a leader that no longer is one may come late
-		a.view, a.arrived = v, time.Now()
+	if !a.view.Stamp.Before(v.Stamp) {
+		return false
 	}
-	return nil
+	a.view, a.arrived = v, time.Now()
+	return true
 }
 
 // open opens a session one incarnation above the last, unless a newer process has been there since this one's.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -92,6 +92,12 @@
 	c.mu.Unlock()
 }
 
+// Call makes one call of another part of the registry, with body as JSON (nil: none), and decodes a 2xx answer into out.
+func (c *Client) Call(ctx context.Context, method, path string, body, out any) error {
+	_, err := c.call(ctx, method, path, body, out, 0)
+	return err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, body, out any, wait time.Duration) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callWithin)
 	defer cancel()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -54,6 +54,7 @@
 	Stamp
 	Revision   int64         `json:"revision"` // of the registry's state that the sessions are from
 	IntervalMs int64         `json:"interval_ms"`
+	Turns      int           `json:"turns"`    // machines with a turn in the rota, so that nodes ask only where there are some
 	Nodes      []NodeLoad    `json:"nodes"`    // every open session, by name
 	Backends   []BackendView `json:"backends"` // by id
 }
--- a/internal/lab/driver.go
+++ b/internal/lab/driver.go
@@ -37,6 +37,7 @@
 	Load    Load
 	Targets []string // host:port of each node's client proxy
 	Seed    uint64
+	Stop    <-chan struct{} // closed to have no more sent; nil: never
 
 	mu       sync.Mutex
 	outcomes []Outcome
@@ -66,6 +67,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.Stop:
+			return
 		case <-time.After(time.Until(next)):
 		}
 		node := rng.IntN(len(d.Targets))
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,6 +25,9 @@
 	if s.Duty != nil {
 		return (&dutyRun{cluster: c, s: s}).run(ctx)
 	}
+	if s.Work != nil {
+		return runWork(ctx, &loadRun{cluster: c, s: s})
+	}
 	if s.Fleet != nil {
 		return (&fleetRun{loadRun: &loadRun{cluster: c, s: s}}).run(ctx)
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -48,6 +48,18 @@
 	return filepath.Join(binDir, "glencart"), filepath.Join(binDir, "hitchvale")
 }
 
+// planted builds hitchvale with a bug planted by a variable of a package, and gives it beside the node as it is.
+func planted(t *testing.T, variable string) (glencart, hitchvale string) {
+	t.Helper()
+	glencart, _ = binaries(t)
+	hitchvale = filepath.Join(t.TempDir(), "hitchvale")
+	if out, err := exec.Command("go", "build", "-o", hitchvale, "-ldflags", "-X glencart/internal/"+variable,
+		"glencart/cmd/hitchvale").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return glencart, hitchvale
+}
+
 func runScenario(t *testing.T, text string) Report {
 	t.Helper()
 	glencart, hitchvale := binaries(t)
@@ -250,13 +262,7 @@
 // successor, and the check of the accepted tokens fails.
 func TestPlantedUnfencedRegistryIsCaught(t *testing.T) {
 	t.Parallel()
-	glencart, _ := binaries(t)
-	planted := filepath.Join(t.TempDir(), "hitchvale")
-	out, err := exec.Command("go", "build", "-o", planted, "-ldflags",
-		"-X glencart/internal/registry.plantUnfenced=1", "glencart/cmd/hitchvale").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	glencart, planted := planted(t, "registry.plantUnfenced=1")
 	r := playWith(t, dutyScenario(11, 12, `"pause"`), glencart, planted)
 	if r.Checks[0].OK {
 		t.Fatalf("stale writes were accepted in order without a fence: %+v", r.Checks[0])
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -108,6 +108,14 @@
 	return errors.New("the registry elected no leader in 20 s")
 }
 
+// refusedError is an answer other than 2xx.
+type refusedError struct {
+	status int
+	text   string
+}
+
+func (e *refusedError) Error() string { return e.text }
+
 // registryCall makes one call of a replica and decodes a 2xx answer into out.
 func (l *cluster) registryCall(ctx context.Context, method, addr, path string, body, out any) error {
 	var rd io.Reader
@@ -131,7 +139,7 @@
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("%s %s at %s: %d %s", method, path, addr, resp.StatusCode, bytes.TrimSpace(text))
+		return &refusedError{resp.StatusCode, fmt.Sprintf("%s %s at %s: %d %s", method, path, addr, resp.StatusCode, bytes.TrimSpace(text))}
 	}
 	if out == nil {
 		return nil
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -33,6 +33,8 @@
 	Duty *Duty `toml:"duty"`
 	// Fleet, where set, makes the run one of the fleet's shared view, under faults drawn from the seed (see Fleet).
 	Fleet *Fleet `toml:"fleet"`
+	// Work, beside a fleet, has machines taken out for work under load (see Work).
+	Work *Work `toml:"work"`
 }
 
 // Duty is a lease scenario: Candidates processes want one duty with a TTL; each does Work between its check of
@@ -169,6 +171,11 @@
 			return err
 		}
 	}
+	if s.Work != nil {
+		if err := s.Work.check(s); err != nil {
+			return err
+		}
+	}
 	for i, f := range s.Faults {
 		if err := s.checkFault(f); err != nil {
 			return fmt.Errorf("fault %d (%s at %s): %w", i+1, f.Kind, f.At, err)
--- /dev/null
+++ b/internal/lab/work.go
@@ -0,0 +1,289 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"glencart/internal/rota"
+	"glencart/internal/timeline"
+	"glencart/internal/tomlconf"
+)
+
+// Work makes a fleet's scenario one of machines taken out for work under load: an operator asks for all backends, at most
+// Budget of them out at once, and for each that is quiet ends its process, starts it again and has it listed. Meanwhile
+// faults are drawn from Kinds (pause, leader), one every Every.
+type Work struct {
+	Budget int      `toml:"budget"`
+	Kinds  []string `toml:"kinds"`
+	Every  Duration `toml:"every"`
+}
+
+func (w Work) check(s Scenario) error {
+	switch {
+	case s.Fleet == nil:
+		return tomlconf.Bad("work", "machines are taken out by a [fleet]")
+	case w.Budget < 1 || w.Budget >= s.Backends:
+		return tomlconf.Bad("work.budget", "%d is outside 1 to one below the backends", w.Budget)
+	case len(w.Kinds) > 0 && w.Every.Duration < 100*time.Millisecond:
+		return tomlconf.Bad("work.every", "%s is below 100ms", w.Every)
+	}
+	for _, k := range w.Kinds {
+		if k != "pause" && k != "leader" {
+			return tomlconf.Bad("work.kinds", "%q is not one of pause, leader", k)
+		}
+	}
+	return nil
+}
+
+// workRun is the experiment.
+type workRun struct {
+	*loadRun
+	members []Member // as listed, by number
+
+	eventMu sync.Mutex
+	events  []timeline.Event
+	said    map[string]string
+	away    []away // while a machine was out, by the operator's own clock
+	over    Check  // never more out than the budget
+}
+
+// away is a machine's time between quiet, as the registry acknowledged it, and the call that lists it again.
+type away struct {
+	machine    string
+	from, till time.Time
+}
+
+func (l *workRun) run(ctx context.Context) (Report, error) {
+	l.drained, l.said = map[string]time.Time{}, map[string]string{}
+	l.over = Check{Name: "never more machines out than the budget"}
+	defer l.disc.Close()
+	targets := make([]string, l.s.Nodes)
+	for i := range targets {
+		targets[i] = l.links[fmt.Sprintf("client-node-%d", i)].Addr()
+	}
+	l.start = time.Now()
+	stopLoad := make(chan struct{})
+	d := &Driver{Load: l.s.Load, Targets: targets, Seed: l.s.Seed}
+	var beside sync.WaitGroup
+	d.Stop = stopLoad
+	beside.Go(func() { d.Run(ctx, l.s.Duration.Duration) })
+	faults, stopFaults := context.WithCancel(ctx)
+	beside.Go(func() { l.drawFaults(faults) })
+	err := l.operate(ctx)
+	stopFaults()
+	close(stopLoad)
+	beside.Wait()
+	l.timers.Wait()
+	l.stopAll()
+	h := History{Windows: l.windows}
+	var unsent int
+	h.Outcomes, unsent = d.Outcomes()
+	for j := range l.s.Backends {
+		runs, rerr := ReadExecutions(l.path("backend-%d.runs", j))
+		if rerr != nil && !errors.Is(rerr, os.ErrNotExist) {
+			return Report{}, rerr
+		}
+		h.Executions = append(h.Executions, runs...)
+	}
+	through := Check{Name: "every machine asked for went out and came back"}
+	if err != nil {
+		through.add(err.Error())
+	}
+	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, l.starts(), l.noneWhileAway(h), l.over.done(), through.done())
+	r.Timeline = timeline.Draw(nil, l.events)
+	if err := os.WriteFile(l.path("timeline.txt"), []byte(r.Timeline), 0o644); err != nil {
+		return r, err
+	}
+	return r, r.Write(l.opts.Out)
+}
+
+// note adds to a column of the timeline where it has something new to say.
+func (l *workRun) note(who, text string) {
+	l.eventMu.Lock()
+	defer l.eventMu.Unlock()
+	if who != timeline.Faults && l.said[who] == text {
+		return
+	}
+	l.said[who] = text
+	l.events = append(l.events, timeline.Event{At: time.Since(l.start), Who: who, Text: text})
+}
+
+// drawFaults plays a fault every so often until ctx ends, each undone before the next.
+func (l *workRun) drawFaults(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(l.s.Seed, 0x307a))
+	w := l.s.Work
+	for len(w.Kinds) > 0 {
+		sleepUntil(ctx, time.Now().Add(w.Every.Duration))
+		if ctx.Err() != nil {
+			return
+		}
+		if w.Kinds[rng.IntN(len(w.Kinds))] == "leader" {
+			lead := l.leaderIndex(ctx)
+			if lead < 0 {
+				continue
+			}
+			l.note(timeline.Faults, fmt.Sprintf("kill registry-%d", lead))
+			l.mark(FaultMark{At: time.Since(l.start).Seconds(), Kind: "kill", Target: []string{fmt.Sprintf("registry-%d", lead)}})
+			l.restartAfterElection(context.WithoutCancel(ctx), lead)
+			continue
+		}
+		i := rng.IntN(l.s.Nodes)
+		p, long := l.procs["node"][i], time.Duration(float64(l.s.Fleet.Interval.Duration)*(0.5+7*rng.Float64()))
+		l.note(timeline.Faults, "pause "+p.Name)
+		l.mark(FaultMark{At: time.Since(l.start).Seconds(), Kind: "pause", Target: []string{p.Name}})
+		l.open("node", i, "pause")
+		p.Signal(syscall.SIGSTOP)
+		sleepUntil(ctx, time.Now().Add(long))
+		p.Signal(syscall.SIGCONT)
+		l.note(timeline.Faults, "go on "+p.Name)
+		// What it held is late, and what it has not heard yet it cannot know: a second more.
+		l.later(ctx, time.Second, func() { l.shut("node", i) })
+	}
+}
+
+// operate is the operator: it asks for all backends and works on each that is quiet, until all have been through.
+func (l *workRun) operate(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*patience)
+	defer cancel()
+	ask := map[string]any{"id": "work", "reason": "the lab's", "length_ms": 1000, "budget": map[string]int{"all": l.s.Work.Budget},
+		"select": map[string]string{"site": "a"}}
+	if err := l.anyReplica(ctx, http.MethodPost, "/registry/rota/requests", ask, nil); err != nil {
+		return err
+	}
+	for {
+		var b rota.Board
+		if err := l.anyReplica(ctx, http.MethodGet, "/registry/rota", nil, &b); err != nil {
+			return err
+		}
+		l.look(b)
+		if len(b.Turns) == 0 {
+			return nil
+		}
+		for _, t := range b.Turns {
+			if err := l.attend(ctx, t); err != nil {
+				return err
+			}
+		}
+		sleepUntil(ctx, time.Now().Add(lookEvery))
+	}
+}
+
+// look takes down a board.
+func (l *workRun) look(b rota.Board) {
+	out := 0
+	states := map[string]string{}
+	for _, t := range b.Turns {
+		states[t.Machine] = string(t.State)
+		if t.State != rota.Waiting {
+			out++
+		}
+	}
+	for _, m := range l.members {
+		if s, ok := states[m.ID]; ok {
+			l.note(m.ID, s)
+		} else {
+			l.note(m.ID, "done")
+		}
+	}
+	if out > l.s.Work.Budget {
+		l.over.add(fmt.Sprintf("%d of %d at %s: %v", out, l.s.Work.Budget, time.Since(l.start).Round(time.Millisecond), states))
+	}
+}
+
+// attend does the operator's part of a turn: a quiet machine is taken out, worked on, listed again and done.
+func (l *workRun) attend(ctx context.Context, t rota.Turn) error {
+	step := func(to rota.State) error {
+		var out struct{ Turn rota.Turn }
+		err := l.anyReplica(ctx, http.MethodPost, "/registry/rota/machines/"+t.Machine+"/step", rota.Command{Rev: t.Rev, To: to}, &out)
+		if err == nil {
+			t = out.Turn
+		}
+		return err
+	}
+	if t.State != rota.Quiet {
+		return nil
+	}
+	from := time.Now()
+	if err := step(rota.Out); err != nil {
+		return fmt.Errorf("%s out: %w", t.Machine, err)
+	}
+	i := slices.IndexFunc(l.members, func(m Member) bool { return m.ID == t.Machine })
+	p := l.procs["backend"][i]
+	p.Stop(stopGrace)
+	if err := errors.Join(p.Start(l.spawn), waitReady(ctx, p, l.backendAddr[i], "/health/live")); err != nil {
+		return err
+	}
+	l.away = append(l.away, away{t.Machine, from, time.Now()})
+	m := l.members[i]
+	m.UpSince, m.Phase = time.Now().UnixMilli(), "draining" // a new process, not to be sent to before its turn says so
+	if err := l.anyReplica(ctx, http.MethodPost, "/registry/members", map[string]any{"member": m}, nil); err != nil {
+		return err
+	}
+	for _, to := range []rota.State{rota.Returning, rota.Done} {
+		if err := step(to); err != nil {
+			return fmt.Errorf("%s %s: %w", t.Machine, to, err)
+		}
+	}
+	return nil
+}
+
+// anyReplica makes a call of one replica after the other until one answers it, for patience at most; a refusal by the
+// rules is final.
+func (l *cluster) anyReplica(ctx context.Context, method, path string, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var last error
+	for try := 0; ctx.Err() == nil; try++ {
+		last = l.registryCall(ctx, method, l.registryAddr[try%len(l.registryAddr)], path, body, out)
+		var refused *refusedError
+		if last == nil || errors.As(last, &refused) && refused.status != http.StatusServiceUnavailable {
+			return last
+		}
+		sleepUntil(ctx, time.Now().Add(50*time.Millisecond))
+	}
+	return fmt.Errorf("no replica answered: %w", last)
+}
+
+// noneWhileAway checks that nothing was run by a machine while it was out, but for what a node sent that was paused
+// itself and could not hear.
+func (l *workRun) noneWhileAway(h History) Check {
+	c := Check{Name: "nothing reaches a machine between quiet and returning"}
+	node := map[string]int{}
+	for _, o := range h.Outcomes {
+		node[o.Trace] = o.Node
+	}
+	for _, e := range h.Executions {
+		for _, a := range l.away {
+			if e.Backend != a.machine || e.At < a.from.UnixNano() || e.At > a.till.UnixNano() {
+				continue
+			}
+			if n, sent := node[e.Trace]; sent && h.faulted(n, a.from.Add(-time.Second).UnixNano(), e.At) {
+				c.Excused++
+				continue
+			}
+			c.add(fmt.Sprintf("%s at %s, %s after it was quiet", e.Trace, e.Backend, time.Duration(e.At-a.from.UnixNano())))
+		}
+	}
+	return c.done()
+}
+
+// runWork sets the experiment up and plays it.
+func runWork(ctx context.Context, l *loadRun) (Report, error) {
+	if err := l.setUp(ctx); err != nil {
+		return Report{}, err
+	}
+	w := &workRun{loadRun: l}
+	for j := range l.s.Backends {
+		w.members = append(w.members, Member{ID: fmt.Sprintf("backend-%d", j), HostPort: l.links[fmt.Sprintf("node-*:backend-%d", j)].Addr(),
+			Locality: "a", Flavor: "m", Phase: "ready", Size: 1})
+	}
+	return w.run(ctx)
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -43,9 +43,10 @@
 		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 			DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext}}}
 	interval := time.Duration(c.IntervalMs) * time.Millisecond
-	p.agent = fleet.NewAgent(fleet.AgentConfig{Node: n.cfg.Name, Site: c.Site, Address: n.cfg.Listen, Interval: interval},
-		rand.Text(), &fleet.Client{Replicas: c.Registry, HTTP: p.http}, p.report, n.log)
-	n.front.fleet, n.loop.worked = p, p.worked
+	client := &fleet.Client{Replicas: c.Registry, HTTP: p.http}
+	p.agent = fleet.NewAgent(fleet.AgentConfig{Node: n.cfg.Name, Site: c.Site, Address: n.cfg.Listen, Interval: interval,
+		OnView: newTurns(n, client).follow}, rand.Text(), client, p.report, n.log)
+	n.front.fleet, n.loop.worked, n.loop.streams = p, p.worked, map[string]int{}
 	return p
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -26,6 +26,7 @@
 	tellPeers func(peer int, payload []byte)
 	askedOf   func() int64                          // calls of discovery since it was last asked
 	worked    func(r *request, spent time.Duration) // a backend has served; nil: nobody asks
+	streams   map[string]int                        // answers still being passed on, by backend; nil: nobody asks
 
 	requests map[string]*request
 	backends map[string]*backend // by discovery's id
@@ -321,6 +322,9 @@
 		if l.worked != nil {
 			l.worked(r, l.now()-at.sent)
 		}
+		if res.stream != nil && l.streams != nil {
+			l.follow(at.to.id, res.stream)
+		}
 		r.reply <- answer{kind: served, body: res.body, contentType: res.contentType, stream: res.stream}
 	}
 	l.forget(r)
@@ -330,6 +334,16 @@
 	})
 }
 
+// follow counts an answer as open at its backend until all of it has been passed on.
+func (l *loop) follow(id string, s *stream) {
+	l.streams[id]++
+	end := s.end
+	s.end = func(whole bool) {
+		end(whole)
+		l.post(func() { l.streams[id]-- })
+	}
+}
+
 // giveUp ends an attempt and its connection.
 func (l *loop) giveUp(r *request, n int, st balance.Status) {
 	at := r.attempts[n]
--- /dev/null
+++ b/internal/node/rota.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"glencart/internal/fleet"
+	"glencart/internal/rota"
+)
+
+// turns is a node's part in the rota: with each view that tells of machines with a turn it reads the board, confirms what
+// is quiet here, and proposes what rota.Next says. All of it runs between two reports of the fleet's agent.
+type turns struct {
+	n      *Node
+	client *fleet.Client
+	seen   map[string]int // by machine: views for which its turn has stood
+	at     map[string]int64
+}
+
+// turnWithin bounds what a node does about turns after one view.
+const turnWithin = 2 * time.Second
+
+func newTurns(n *Node, client *fleet.Client) *turns {
+	return &turns{n: n, client: client, seen: map[string]int{}, at: map[string]int64{}}
+}
+
+// follow acts on one view.
+func (t *turns) follow(ctx context.Context, v fleet.View, incarnation uint64) {
+	if v.Turns == 0 {
+		clear(t.seen)
+		clear(t.at)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, turnWithin)
+	defer cancel()
+	var b rota.Board
+	if err := t.client.Call(ctx, http.MethodGet, "/registry/rota", nil, &b); err != nil {
+		t.n.log.Warn("rota not read", "error", err)
+		return
+	}
+	t.count(b)
+	l, ok := t.local(ctx, v, incarnation)
+	if !ok {
+		return // the loop is too busy to say what is open: nothing is confirmed on a guess
+	}
+	for _, c := range rota.Next(b, l) {
+		if err := t.propose(ctx, c); err != nil && c.Op == "rota-step" {
+			t.n.log.Info("turn not taken", "machine", c.Machine, "to", c.To, "error", err)
+		}
+	}
+}
+
+// count takes in for how many views each turn has stood as it does.
+func (t *turns) count(b rota.Board) {
+	seen, at := map[string]int{}, map[string]int64{}
+	for _, x := range b.Turns {
+		if at[x.Machine] = x.Rev; t.at[x.Machine] == x.Rev {
+			seen[x.Machine] = t.seen[x.Machine] + 1
+		}
+	}
+	t.seen, t.at = seen, at
+}
+
+// local asks the loop for the list that it holds and what it has open at whom.
+func (t *turns) local(ctx context.Context, v fleet.View, incarnation uint64) (rota.Local, bool) {
+	l := rota.Local{Node: t.n.cfg.Name, Incarnation: incarnation, View: rota.Stamp(v.Stamp), Seen: t.seen}
+	for _, n := range v.Nodes {
+		if n.Fresh {
+			l.Nodes = append(l.Nodes, n.Node)
+		}
+	}
+	type held struct {
+		revision int64
+		open     map[string]int
+	}
+	told := make(chan held, 1)
+	go t.n.loop.post(func() {
+		open := maps.Clone(t.n.loop.streams)
+		for _, r := range t.n.loop.requests {
+			for _, at := range r.attempts {
+				if !at.over {
+					open[at.to.id]++
+				}
+			}
+		}
+		told <- held{t.n.loop.revision, open}
+	})
+	select {
+	case h := <-told:
+		l.Held, l.Open = h.revision, h.open
+		return l, true
+	case <-ctx.Done():
+	case <-t.n.loop.done:
+	}
+	return l, false
+}
+
+// propose makes one proposal; the record decides.
+func (t *turns) propose(ctx context.Context, c rota.Command) error {
+	switch c.Op {
+	case "rota-settle":
+		return t.client.Call(ctx, http.MethodPost, "/registry/rota/settle", c.Epoch, nil)
+	default:
+		path := "/registry/rota/machines/" + url.PathEscape(c.Machine) + "/" + strings.TrimPrefix(c.Op, "rota-")
+		return t.client.Call(ctx, http.MethodPost, path, c, nil)
+	}
+}
--- a/internal/registry/fleet.go
+++ b/internal/registry/fleet.go
@@ -79,6 +79,7 @@
 	r.fsm.read(func(s *State) {
 		if sessions = len(r.sessions.Open); sessions > 0 || f.view != nil {
 			v = f.collector.Compile(r.sessions, s.Revision, time.Since(f.start))
+			v.Turns = len(r.rota.Turns)
 		}
 	})
 	if v.Epoch == 0 {
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -162,9 +162,10 @@
 	defer r.watching.Add(-1)
 	for {
 		var l List
-		var rev int64
-		next := r.fsm.read(func(s *State) { rev = s.Revision; l = s.Since(after) })
-		if rev > after || after > rev {
+		// Revisions of other records than the list's are no news to a watch.
+		var rev, last int64
+		next := r.fsm.read(func(s *State) { rev, last, l = s.Revision, s.members.last, s.Since(after) })
+		if last > after || after > rev {
 			return l, r.fresh()
 		}
 		select {
--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -86,6 +86,7 @@
 	head    int
 	// floor is the revision before the oldest change the ring holds: a watch from below it gets the whole list.
 	floor int64
+	last  int64 // revision of the last change of the list; not in snapshots
 }
 
 func newMembers(ringCap int, fence func(*Fence) error) *members {
@@ -147,6 +148,7 @@
 
 // bump records a change in the ring.
 func (s *members) bump(m Member, next int64) {
+	s.last = next
 	c := change{Revision: next, Member: m}
 	if len(s.ring) < cap(s.ring) {
 		s.ring = append(s.ring, c)
@@ -170,7 +172,7 @@
 	if n.Members == nil {
 		n.Members = map[string]entry{}
 	}
-	s.Members, s.ring, s.head, s.floor = n.Members, s.ring[:0], 0, revision
+	s.Members, s.ring, s.head, s.floor, s.last = n.Members, s.ring[:0], 0, revision, revision
 	return nil
 }
 
