--- a/internal/lab/duty.go
+++ b/internal/lab/duty.go
@@ -128,6 +128,15 @@
 		l.waitHolder(ctx, holder, settle)
 		sleepUntil(ctx, time.Unix(0, pl.At).Add(pause))
 		return pl, p.Signal(syscall.SIGCONT)
+	case "both":
+		// The holder stands still while the leader that would have expired it is killed: the next leader waits a full
+		// TTL of its own, and only then may a successor hold; then the old holder wakes to write.
+		if err := p.Signal(syscall.SIGSTOP); err != nil {
+			return pl, err
+		}
+		_, err := l.killLeader(ctx, pl)
+		l.waitHolder(ctx, holder, settle)
+		return pl, errors.Join(err, p.Signal(syscall.SIGCONT))
 	case "cut":
 		links := l.matchLinks([]string{p.Name + ":registry-*"})
 		for _, x := range links {
--- a/internal/lab/dutycheck.go
+++ b/internal/lab/dutycheck.go
@@ -77,7 +77,11 @@
 	for _, p := range plays {
 		ms := takeover(p, grants, accepted)
 		fig.Points = append(fig.Points, TakeoverPoint{Kind: p.Kind, Ms: ms})
-		if ms < 0 || time.Duration(ms*1e6) > ttl+time.Second {
+		bound := ttl + time.Second
+		if p.Kind == "both" {
+			bound += ttl // the next leader's own
+		}
+		if ms < 0 || time.Duration(ms*1e6) > bound {
 			taken.add(fmt.Sprintf("%s of %s: takeover %.0f ms", p.Kind, p.Target, ms))
 		}
 		if ms >= 0 {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -219,7 +219,7 @@
 }
 
 // Five candidates, 200 faults drawn from five seeds (the holder killed, paused past its TTL, cut from the registry,
-// sent SIGTERM; the registry's leader killed): no two holders have a write accepted out of token order, and paused
+// sent SIGTERM; the registry's leader killed; both at once): no two holders have a write accepted out of token order, and paused
 // holders' stale writes were there to be refused. The run itself waits for each fault's successor. How soon it holds
 // is a measurement of the machine as well: the report checks it, BenchmarkTakeover tells it.
 func TestDutyPassesSafelyUnderFaults(t *testing.T) {
@@ -230,7 +230,7 @@
 		for seed := range runs {
 			t.Run(strconv.Itoa(11+seed), func(t *testing.T) {
 				t.Parallel()
-				r := runScenario(t, dutyScenario(11+seed, each, `"kill", "pause", "cut", "term", "leader"`))
+				r := runScenario(t, dutyScenario(11+seed, each, `"kill", "pause", "cut", "term", "leader", "both"`))
 				if c := r.Checks[0]; !c.OK {
 					t.Errorf("%s: %d violations, first %v", c.Name, c.Violations, c.Examples)
 				}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -39,7 +39,7 @@
 
 // Duty is a lease scenario: Candidates processes want one duty with a TTL; each does Work between its check of
 // the lease and its fenced write. Schedules faults are played one after another, each of a kind drawn from Kinds
-// (kill, pause, cut, term, leader) and aimed at the duty's holder or, for leader, the registry's leader.
+// (kill, pause, cut, term, leader; both: the holder paused while the leader is killed) and aimed at the duty's holder or, for leader, the registry's leader.
 type Duty struct {
 	Candidates int      `toml:"candidates"`
 	TTL        Duration `toml:"ttl"`
@@ -48,7 +48,7 @@
 	Kinds      []string `toml:"kinds"`
 }
 
-var dutyKinds = map[string]bool{"kill": true, "pause": true, "cut": true, "term": true, "leader": true}
+var dutyKinds = map[string]bool{"kill": true, "pause": true, "cut": true, "term": true, "leader": true, "both": true}
 
 func (d Duty) check(registries int) error {
 	switch {
@@ -67,7 +67,7 @@
 	}
 	for _, k := range d.Kinds {
 		if !dutyKinds[k] {
-			return tomlconf.Bad("duty.kinds", "%q is not one of kill, pause, cut, term, leader", k)
+			return tomlconf.Bad("duty.kinds", "%q is not one of kill, pause, cut, term, leader, both", k)
 		}
 	}
 	return nil
