Ask the next replica soon and wait only when all have failed; call back, overdue, outages

With replicas down, the node waited its whole back-off (up to 1.5 s) before each of them in turn, so that after an outage its list came late by a wait for each replica that was down. Change: the wait comes once a round. A single discovery: unchanged.

Turns: machines that were granted or drain are called back, to wait again, where a floor does not hold any more; a turn out for longer than its work was to take is named overdue by the leader's clock.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -215,7 +215,7 @@
 func (d *discovery) run(ctx context.Context) {
 	defer d.http.CloseIdleConnections()
 	complain := limited{log: d.log}
-	wait := retryLeast
+	wait, failed := retryLeast, 0
 	for ctx.Err() == nil {
 		watch := d.asked == nil
 		if d.asked != nil {
@@ -240,7 +240,13 @@
 			continue // the module says when to call again
 		}
 		if heard {
-			wait = retryLeast
+			wait, failed = retryLeast, 0
+		}
+		// The next replica is asked soon: waiting is for when all have failed, or news would be late by a wait for each
+		// replica that is down.
+		if failed++; len(d.replicas) > 0 && failed%len(d.replicas) != 0 {
+			pause(ctx, retryLeast/2+rand.N(retryLeast))
+			continue
 		}
 		// Nodes that lost discovery together must not come back to it in step.
 		pause(ctx, wait/2+rand.N(wait))
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,47 @@
 		<-done
 	}
 }
+
+// Through a long outage a node asks all replicas, waits, and asks all again: once one is back the node has its list after
+// one such wait at the most, and not after one for each replica that is still down.
+func TestReplicaThatIsBackIsFoundAfterOneWait(t *testing.T) {
+	for range 20 { // waits are drawn
+		synctest.Test(t, func(t *testing.T) {
+			names, err := settings.Parse([]byte(testSettings))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var heard atomic.Int64 // since the replica is back, in nanoseconds
+			var back time.Time
+			replicas := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"}
+			d := newDiscovery(replicas[0], replicas, names, quiet(), func(List) { heard.CompareAndSwap(0, int64(time.Since(back))) }, func() {})
+			d.http = &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+				if back.IsZero() || r.URL.Host != replicas[4] {
+					return nil, errors.New("refused")
+				}
+				if r.URL.RawQuery != "" { // a watch: nothing is new
+					<-r.Context().Done()
+					return nil, r.Context().Err()
+				}
+				text := listText(1, true, listed{"s", "127.0.0.1:1", "ready", 0})
+				return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text))}, nil
+			})}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { d.run(ctx); close(done) }()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			back = time.Now()
+			time.Sleep(20 * time.Second)
+			cancel()
+			<-done
+			if took := time.Duration(heard.Load()); took == 0 || took > retryMost*3/2+time.Duration(len(replicas))*retryLeast*3/2 {
+				t.Errorf("heard %v after a replica was back", took)
+			}
+		})
+	}
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -159,6 +159,8 @@
 	beatMu sync.Mutex
 	beats  map[string]time.Time // last heartbeat by member, on this replica's monotonic clock, while it leads
 
+	turnsSeen map[string]turnSeen // for keepTTLs alone, while it leads
+
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 }
@@ -353,6 +355,7 @@
 			r.beatMu.Lock()
 			r.beats = map[string]time.Time{}
 			r.beatMu.Unlock()
+			r.turnsSeen = map[string]turnSeen{}
 			if l {
 				r.lead()
 			}
@@ -398,12 +401,13 @@
 			}
 		}
 		due = append(due, r.dueSessions(now)...)
+		due = append(due, r.dueTurns(r.turnsSeen, now)...)
 		due = append(due, r.dueLeases(s, now)...)
 	})
 	for _, c := range due {
 		res, err := r.Write(c)
 		if err == nil && res.Err == nil {
-			r.log.Info("expired", "command", c, "revision", res.Revision)
+			r.log.Info("time is up", "command", c, "revision", res.Revision)
 		}
 	}
 }
--- a/internal/registry/rota.go
+++ b/internal/registry/rota.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"glencart/internal/fleet"
 	"glencart/internal/machine"
@@ -87,6 +88,7 @@
 	out := map[string]any{}
 	r.fsm.read(func(s *State) {
 		out["revision"], out["epoch"] = s.Revision, r.rota.Epoch
+		out["short"] = r.rota.Short()
 		out["order"], out["turns"], out["requests"] = slices.Clone(r.rota.Order), r.rota.All(), maps.Clone(r.rota.Requests)
 	})
 	answer(w, out)
@@ -132,3 +134,32 @@
 	}
 	return c, nil
 }
+
+// turnSeen is a turn as this leader saw it first at its revision.
+type turnSeen struct {
+	rev int64
+	at  time.Time
+}
+
+// dueTurns gives the commands that name turns overdue: out for longer than the work was to take, by this leader's clock; a
+// new leader counts afresh. seen is kept from one call to the next.
+func (r *Replica) dueTurns(seen map[string]turnSeen, now time.Time) []machine.Command {
+	var due []machine.Command
+	for id, t := range r.rota.Turns {
+		if t.State != rota.Out || t.Overdue {
+			delete(seen, id)
+			continue
+		}
+		if s, ok := seen[id]; !ok || s.rev != t.Rev {
+			seen[id] = turnSeen{t.Rev, now}
+		} else if now.Sub(s.at) > time.Duration(r.rota.Length(t))*time.Millisecond {
+			due = append(due, &rota.Command{Op: "rota-overdue", Machine: id, Rev: t.Rev})
+		}
+	}
+	for id := range seen {
+		if r.rota.Turns[id] == nil {
+			delete(seen, id)
+		}
+	}
+	return due
+}
--- a/internal/rota/decide.go
+++ b/internal/rota/decide.go
@@ -12,6 +12,7 @@
 	Epoch Stamp    `json:"epoch"`
 	Order []string `json:"order"`
 	Turns []Turn   `json:"turns"` // by machine
+	Short []string `json:"short"` // to be called back, as a floor does not hold any more
 }
 
 // Local is what a node knows beside the board.
@@ -43,6 +44,10 @@
 	turns := map[string]Turn{}
 	for _, t := range b.Turns {
 		turns[t.Machine] = t
+		if slices.Contains(b.Short, t.Machine) {
+			step(t, Waiting)
+			continue
+		}
 		switch t.State {
 		case Waiting:
 			if waiting++; slices.Contains(b.Order, t.Machine) {
--- a/internal/rota/grant.go
+++ b/internal/rota/grant.go
@@ -163,7 +163,7 @@
 	}
 	out := []*Turn{t}
 	for _, o := range r.Turns {
-		if o.State.holds() {
+		if o.State.holds() && o != t {
 			out = append(out, o)
 		}
 	}
--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -221,6 +221,9 @@
 			return ErrUnconfirmed.Of(t.Machine, fmt.Errorf("%v", missing))
 		}
 	case [2]State{Quiet, Out}:
+	case [2]State{Granted, Waiting}, [2]State{Draining, Waiting}: // called back: it waits again
+		r.list.SetDraining(t.Machine, false, next)
+		t.Confirmed, t.Drained = nil, 0
 	case [2]State{Out, Returning}, [2]State{Draining, Returning}, [2]State{Quiet, Returning}, [2]State{Granted, Returning}:
 		r.list.SetDraining(t.Machine, false, next)
 		t.Confirmed = nil
@@ -256,6 +259,29 @@
 	return false
 }
 
+// Short are the machines that should be called back: they have been granted or drain, and a floor that binds them does not
+// hold any more, since something else has gone. What is out already cannot be.
+func (r *Rota) Short() []string {
+	var out []string
+	for _, id := range slices.Sorted(maps.Keys(r.Turns)) {
+		t := r.Turns[id]
+		if (t.State == Granted || t.State == Draining) && errors.Is(r.fits(t), ErrFloor) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Length is how long the work on a machine is expected to take: the longest that any request for it says, in
+// milliseconds.
+func (r *Rota) Length(t *Turn) int64 {
+	var longest int64
+	for _, id := range t.Requests {
+		longest = max(longest, r.Requests[id].LengthMs)
+	}
+	return longest
+}
+
 // unconfirmed are the live nodes whose present process has not confirmed a draining machine.
 func (r *Rota) unconfirmed(t *Turn) []string {
 	var missing []string
