--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -166,6 +166,7 @@
 	c := newCluster(t, 3)
 	lead := c.leader(t)
 	follower := c.http[(lead+1)%3]
+	await(t, "a follower that knows the leader", func() bool { return c.replicas[(lead+1)%3].leaderHTTP() != "" })
 	for i := range 20 {
 		body := fmt.Sprintf(`{"member":{"id":"s-%d","host_port":"127.0.0.1:%d","size":1}}`, i, 9000+i)
 		if code, text := call(t, "POST", "http://"+follower+"/registry/members", body); code != 200 {
