Make one piece serve where the change had written it again: leader calls, charts, kills

Seven handlers of the registry passed calls on to the leader each in its own words: onLeader does. The lab's two fleet experiments kept a timeline each: chart does, with fault and say. Five places killed a child and waited: Proc.Kill. lookView made its own HTTP call: registryCall serves it. The stand-in discovery is ended in one place, also where a work run fails in its set-up, which leaked it. A comment on stopAll claimed an order that it has not.

--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -33,6 +33,7 @@
 	links        map[string]*Proxy  // by "FROM:TO", such as "node-1:backend-2", "registry-0:registry-1", "client-node-1"
 	fans         []*Fan             // what the proxies between replicas listen on
 
+	chart  chart
 	mu     sync.Mutex
 	acks   []ack // writes the registry acknowledged
 	marks  []FaultMark
@@ -48,7 +49,7 @@
 		return nil, err
 	}
 	c := &cluster{opts: opts, seed: seed, spawn: newSpawner(), space: space, log: opts.Log,
-		procs: map[string][]*Proc{}, links: map[string]*Proxy{}}
+		procs: map[string][]*Proc{}, links: map[string]*Proxy{}, chart: chart{said: map[string]string{}}}
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
 	}
@@ -69,7 +70,7 @@
 	l.space.close()
 }
 
-// stopAll ends every child in order: nodes before what they send to, the registry last.
+// stopAll ends every child, all at once.
 func (l *cluster) stopAll() {
 	var wg sync.WaitGroup
 	for _, p := range l.all() {
@@ -87,7 +88,7 @@
 func (l *cluster) starts() map[string]int {
 	out := map[string]int{}
 	for _, p := range l.all() {
-		out[p.Name] = p.started
+		out[p.Name] = p.starts()
 	}
 	return out
 }
--- a/internal/lab/duty.go
+++ b/internal/lab/duty.go
@@ -165,9 +165,7 @@
 // restartAfterElection kills a replica, waits for a leader among the others, and starts it again on its data.
 func (l *cluster) restartAfterElection(ctx context.Context, m int) error {
 	p := l.procs["registry"][m]
-	exited := p.Exited()
-	p.Signal(syscall.SIGKILL)
-	<-exited
+	p.Kill()
 	if err := l.waitLeader(ctx); err != nil {
 		return err
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -72,10 +72,7 @@
 		l.later(ctx, f.For.Duration, func() { p.Signal(syscall.SIGCONT); l.shut(role, i) })
 		return nil
 	case "restart":
-		if ch := p.Exited(); ch != nil {
-			p.Signal(syscall.SIGKILL)
-			<-ch
-		}
+		p.Kill()
 		defer l.shut(role, i)
 		return p.Start(l.spawn)
 	case "drain":
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -5,10 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -61,10 +59,8 @@
 	*loadRun
 
 	watchMu sync.Mutex
-	events  []timeline.Event
 	last    map[string]fleet.Stamp // by reader: the last view
 	texts   map[fleet.Stamp]string // what a view held, whoever read it
-	was     map[string]string      // by reader: what its column said last
 	shared  Check                  // one text under one stamp
 	forward Check                  // no reader goes back
 }
@@ -73,13 +69,8 @@
 const lookEvery = 20 * time.Millisecond
 
 func (l *fleetRun) run(ctx context.Context) (Report, error) {
-	l.drained, l.last, l.texts, l.was = map[string]time.Time{}, map[string]fleet.Stamp{}, map[fleet.Stamp]string{}, map[string]string{}
+	l.drained, l.last, l.texts = map[string]time.Time{}, map[string]fleet.Stamp{}, map[fleet.Stamp]string{}
 	l.shared, l.forward = Check{Name: "a view is the same for all its readers"}, Check{Name: "no reader's view goes back"}
-	defer func() {
-		if l.disc != nil {
-			l.disc.Close()
-		}
-	}()
 	if err := l.setUp(ctx); err != nil {
 		return Report{}, err
 	}
@@ -116,18 +107,6 @@
 	return nil
 }
 
-func (l *fleetRun) note(who, format string, args ...any) {
-	l.watchMu.Lock()
-	defer l.watchMu.Unlock()
-	l.events = append(l.events, timeline.Event{At: time.Since(l.start), Who: who, Text: fmt.Sprintf(format, args...)})
-}
-
-// fault records a fault in the report and the timeline.
-func (l *fleetRun) fault(kind string, targets ...string) {
-	l.mark(FaultMark{At: time.Since(l.start).Seconds(), Kind: kind, Target: targets})
-	l.note(timeline.Faults, "%s %s", kind, strings.Join(targets, " "))
-}
-
 // schedule plays one fault, or two at once, and undoes it.
 func (l *fleetRun) schedule(ctx context.Context, rng *rand.Rand, kind string) error {
 	interval := l.s.Fleet.Interval.Duration
@@ -137,9 +116,7 @@
 	switch kind {
 	case "kill":
 		l.fault("kill", node.Name)
-		exited := node.Exited()
-		node.Signal(syscall.SIGKILL)
-		<-exited
+		node.Kill()
 		sleepUntil(ctx, time.Now().Add(long/4))
 		return node.Start(l.spawn)
 	case "pause":
@@ -229,17 +206,6 @@
 	}
 }
 
-// say adds to a reader's column where it has something new to say.
-func (l *fleetRun) say(who, text string) {
-	l.watchMu.Lock()
-	changed := l.was[who] != text
-	l.was[who] = text
-	l.watchMu.Unlock()
-	if changed {
-		l.note(who, "%s", text)
-	}
-}
-
 // lookNode takes down how a node's agent stands.
 func (l *fleetRun) lookNode(ctx context.Context, i int) error {
 	starts := l.procs["node"][i].starts()
@@ -260,21 +226,10 @@
 
 // lookView takes down the view as a replica gives it: the leader's own or, forwarded, the leader's.
 func (l *fleetRun) lookView(ctx context.Context, m int) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.registryAddr[m]+"/registry/fleet/view", nil)
-	if err != nil {
+	var text json.RawMessage
+	if err := l.registryCall(ctx, http.MethodGet, l.registryAddr[m], "/registry/fleet/view", nil, &text); err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%d: %w", resp.StatusCode, err)
-	}
 	var v fleet.View
 	if err := json.Unmarshal(text, &v); err != nil {
 		return err
@@ -318,8 +273,7 @@
 	for i := range l.s.Nodes {
 		columns = append(columns, fmt.Sprintf("node-%d", i))
 	}
-	r.Timeline = timeline.Draw(columns, l.events)
-	if err := os.WriteFile(l.path("timeline.txt"), []byte(r.Timeline), 0o644); err != nil {
+	if r.Timeline, err = l.drawTimeline(columns); err != nil {
 		return r, err
 	}
 	return r, r.Write(l.opts.Out)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,11 +25,13 @@
 	if s.Duty != nil {
 		return (&dutyRun{cluster: c, s: s}).run(ctx)
 	}
-	if s.Work != nil {
-		return runWork(ctx, &loadRun{cluster: c, s: s})
+	l := &loadRun{cluster: c, s: s}
+	defer l.closeDiscovery()
+	switch {
+	case s.Work != nil:
+		return runWork(ctx, l)
+	case s.Fleet != nil:
+		return (&fleetRun{loadRun: l}).run(ctx)
 	}
-	if s.Fleet != nil {
-		return (&fleetRun{loadRun: &loadRun{cluster: c, s: s}}).run(ctx)
-	}
-	return (&loadRun{cluster: c, s: s}).run(ctx)
+	return l.run(ctx)
 }
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -26,17 +26,19 @@
 
 func (l *loadRun) run(ctx context.Context) (Report, error) {
 	l.drained = map[string]time.Time{}
-	defer func() {
-		if l.disc != nil {
-			l.disc.Close()
-		}
-	}()
 	if err := l.setUp(ctx); err != nil {
 		return Report{}, err
 	}
 	return l.play(ctx)
 }
 
+// closeDiscovery ends the stand-in discovery, if it was started.
+func (l *loadRun) closeDiscovery() {
+	if l.disc != nil {
+		l.disc.Close()
+	}
+}
+
 func (l *loadRun) setUp(ctx context.Context) error {
 	members := make([]Member, l.s.Backends)
 	for j := range l.s.Backends {
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -133,6 +133,14 @@
 	return err
 }
 
+// Kill ends the process with SIGKILL and waits for its end; it is no error where it does not run.
+func (p *Proc) Kill() {
+	if exited := p.Exited(); exited != nil {
+		p.Signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
 // Stop ends the process: SIGCONT where it is paused, SIGTERM, and SIGKILL after grace; it waits for the end.
 func (p *Proc) Stop(grace time.Duration) {
 	exited := p.Exited()
--- a/internal/lab/work.go
+++ b/internal/lab/work.go
@@ -52,11 +52,8 @@
 	*loadRun
 	members []Member // as listed, by number
 
-	eventMu sync.Mutex
-	events  []timeline.Event
-	said    map[string]string
-	away    []away // while a machine was out, by the operator's own clock
-	over    Check  // never more out than the budget
+	away []away // while a machine was out, by the operator's own clock
+	over Check  // never more out than the budget
 }
 
 // away is a machine's time between quiet, as the registry acknowledged it, and the call that lists it again.
@@ -66,9 +63,8 @@
 }
 
 func (l *workRun) run(ctx context.Context) (Report, error) {
-	l.drained, l.said = map[string]time.Time{}, map[string]string{}
+	l.drained = map[string]time.Time{}
 	l.over = Check{Name: "never more machines out than the budget"}
-	defer l.disc.Close()
 	targets := make([]string, l.s.Nodes)
 	for i := range targets {
 		targets[i] = l.links[fmt.Sprintf("client-node-%d", i)].Addr()
@@ -102,24 +98,12 @@
 		through.add(err.Error())
 	}
 	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, l.starts(), l.noneWhileAway(h), l.over.done(), through.done())
-	r.Timeline = timeline.Draw(nil, l.events)
-	if err := os.WriteFile(l.path("timeline.txt"), []byte(r.Timeline), 0o644); err != nil {
+	if r.Timeline, err = l.drawTimeline(nil); err != nil {
 		return r, err
 	}
 	return r, r.Write(l.opts.Out)
 }
 
-// note adds to a column of the timeline where it has something new to say.
-func (l *workRun) note(who, text string) {
-	l.eventMu.Lock()
-	defer l.eventMu.Unlock()
-	if who != timeline.Faults && l.said[who] == text {
-		return
-	}
-	l.said[who] = text
-	l.events = append(l.events, timeline.Event{At: time.Since(l.start), Who: who, Text: text})
-}
-
 // drawFaults plays a fault every so often until ctx ends, each undone before the next.
 func (l *workRun) drawFaults(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(l.s.Seed, 0x307a))
@@ -129,32 +113,26 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.fault(ctx, rng, w.Kinds[rng.IntN(len(w.Kinds))])
+		l.inject(ctx, rng, w.Kinds[rng.IntN(len(w.Kinds))])
 	}
 }
 
-// fault plays one fault and undoes it.
-func (l *workRun) fault(ctx context.Context, rng *rand.Rand, kind string) {
+// inject plays one fault and undoes it.
+func (l *workRun) inject(ctx context.Context, rng *rand.Rand, kind string) {
 	long := time.Duration(float64(l.s.Fleet.Interval.Duration) * (0.5 + 7*rng.Float64()))
 	i := rng.IntN(l.s.Nodes)
 	p := l.procs["node"][i]
-	told := func(kind, target string) {
-		l.note(timeline.Faults, kind+" "+target)
-		l.mark(FaultMark{At: time.Since(l.start).Seconds(), Kind: kind, Target: []string{target}})
-	}
 	switch kind {
 	case "leader":
 		if lead := l.leaderIndex(ctx); lead >= 0 {
-			told("kill", fmt.Sprintf("registry-%d", lead))
+			l.fault("kill", fmt.Sprintf("registry-%d", lead))
 			l.restartAfterElection(context.WithoutCancel(ctx), lead)
 		}
 		return
 	case "outage":
-		told("kill", "registry-*")
+		l.fault("kill", "registry-*")
 		for _, r := range l.procs["registry"] {
-			exited := r.Exited()
-			r.Signal(syscall.SIGKILL)
-			<-exited
+			r.Kill()
 		}
 		sleepUntil(ctx, time.Now().Add(2*long))
 		for _, r := range l.procs["registry"] {
@@ -166,24 +144,22 @@
 		l.waitLeader(context.WithoutCancel(ctx))
 		return
 	case "kill":
-		told("kill", p.Name)
+		l.fault("kill", p.Name)
 		l.open("node", i, "kill")
-		exited := p.Exited()
-		p.Signal(syscall.SIGKILL)
-		<-exited
+		p.Kill()
 		sleepUntil(ctx, time.Now().Add(long/4))
 		if err := p.Start(l.spawn); err != nil {
 			l.log.Error("not started again", "child", p.Name, "error", err)
 		}
 		waitReady(context.WithoutCancel(ctx), p, l.links["client-"+p.Name].target, "/health/ready")
-		l.note(timeline.Faults, "start "+p.Name)
+		l.note(timeline.Faults, "start %s", p.Name)
 	default:
-		told("pause", p.Name)
+		l.fault("pause", p.Name)
 		l.open("node", i, "pause")
 		p.Signal(syscall.SIGSTOP)
 		sleepUntil(ctx, time.Now().Add(long))
 		p.Signal(syscall.SIGCONT)
-		l.note(timeline.Faults, "go on "+p.Name)
+		l.note(timeline.Faults, "go on %s", p.Name)
 	}
 	// What it held is late, and what it has not heard yet it cannot know: a second more.
 	l.later(context.WithoutCancel(ctx), time.Second, func() { l.shut("node", i) })
@@ -228,9 +204,9 @@
 	}
 	for _, m := range l.members {
 		if s, ok := states[m.ID]; ok {
-			l.note(m.ID, s)
+			l.say(m.ID, s)
 		} else {
-			l.note(m.ID, "done")
+			l.say(m.ID, "done")
 		}
 	}
 	if out > l.s.Work.Budget {
--- a/internal/registry/fleet.go
+++ b/internal/registry/fleet.go
@@ -107,10 +107,6 @@
 // serveReport takes in a report (fleet.Echoed) and answers with the first view after the one that it echoes, within
 // wait_ms; 204 where none came.
 func (r *Replica) serveReport(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	waitMs, err := strconv.ParseInt(req.URL.Query().Get("wait_ms"), 10, 64)
 	if err != nil || waitMs < 0 {
 		fail(w, ErrMalformed.Of("wait_ms", fmt.Errorf("%q is not a number of milliseconds", req.URL.Query().Get("wait_ms"))))
@@ -179,10 +175,6 @@
 
 // serveView answers with the last view.
 func (r *Replica) serveView(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	r.fleet.mu.Lock()
 	v := r.fleet.view
 	r.fleet.mu.Unlock()
@@ -195,10 +187,6 @@
 
 // serveSession answers with the highest incarnation under a name, and its open session if there is one.
 func (r *Replica) serveSession(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	if !r.fresh() {
 		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
 		return
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -47,16 +47,16 @@
 	mux.HandleFunc("POST /registry/members", r.writeHandler("", r.register))
 	mux.HandleFunc("PUT /registry/members/{id}/phase", r.writeHandler("", r.phase))
 	mux.HandleFunc("DELETE /registry/members/{id}", r.writeHandler("", r.deregister))
-	mux.HandleFunc("POST /registry/members/{id}/heartbeat", r.serveHeartbeat)
+	mux.HandleFunc("POST /registry/members/{id}/heartbeat", r.onLeader(r.serveHeartbeat))
 	mux.HandleFunc("GET /registry/status", r.serveStatus)
 	mux.Handle("GET /metrics", r.metrics.handler())
-	mux.HandleFunc("GET /registry/leases", r.serveLeases)
+	mux.HandleFunc("GET /registry/leases", r.onLeader(r.serveLeases))
 	mux.HandleFunc("POST /registry/leases/{name}/acquire", r.writeHandler("lease", r.acquire))
 	mux.HandleFunc("POST /registry/leases/{name}/release", r.writeHandler("lease", r.release))
-	mux.HandleFunc("POST /registry/leases/{name}/renew", r.serveRenew)
-	mux.HandleFunc("GET /registry/fleet/view", r.serveView)
-	mux.HandleFunc("POST /registry/fleet/reports", r.serveReport)
-	mux.HandleFunc("GET /registry/fleet/sessions/{node}", r.serveSession)
+	mux.HandleFunc("POST /registry/leases/{name}/renew", r.onLeader(r.serveRenew))
+	mux.HandleFunc("GET /registry/fleet/view", r.onLeader(r.serveView))
+	mux.HandleFunc("POST /registry/fleet/reports", r.onLeader(r.serveReport))
+	mux.HandleFunc("GET /registry/fleet/sessions/{node}", r.onLeader(r.serveSession))
 	mux.HandleFunc("POST /registry/fleet/sessions", r.writeHandler("session", r.openSession))
 	mux.HandleFunc("DELETE /registry/fleet/sessions/{node}", r.writeHandler("", r.closeSession))
 	r.routeRota(mux)
@@ -181,11 +181,7 @@
 // writeHandler decodes a write and commits it on the leader, or passes it to the leader. It answers with the revision
 // and, where the machine gives one, its value under the given name.
 func (r *Replica) writeHandler(value string, decode func(*http.Request) (machine.Command, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, req *http.Request) {
-		if !r.Leader() {
-			r.forward(w, req)
-			return
-		}
+	return r.onLeader(func(w http.ResponseWriter, req *http.Request) {
 		begun := time.Now()
 		req.Body = http.MaxBytesReader(w, req.Body, bodyMost)
 		c, err := decode(req)
@@ -210,6 +206,17 @@
 			}
 			answer(w, text)
 		}
+	})
+}
+
+// onLeader has the leader answer: a follower passes the call on.
+func (r *Replica) onLeader(answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if !r.Leader() {
+			r.forward(w, req)
+			return
+		}
+		answer(w, req)
 	}
 }
 
@@ -290,10 +297,6 @@
 }
 
 func (r *Replica) serveHeartbeat(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	if err := r.Heartbeat(req.PathValue("id")); err != nil {
 		fail(w, err)
 		return
--- a/internal/registry/lease_http.go
+++ b/internal/registry/lease_http.go
@@ -65,10 +65,6 @@
 
 // serveRenew keeps a lease on the leader's clock: 204 while the holder has it with that token, 409 once not.
 func (r *Replica) serveRenew(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	var b struct {
 		Holder string `json:"holder"`
 		Token  uint64 `json:"token"`
@@ -93,10 +89,6 @@
 // serveLeases lists the leases as the leader has them: a follower forwards, since one that is catching up (just
 // restarted, say) would name a holder that has long since lost its lease.
 func (r *Replica) serveLeases(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	var out []Lease
 	r.fsm.read(func(s *State) {
 		for _, l := range s.Leases {
--- a/internal/registry/rota.go
+++ b/internal/registry/rota.go
@@ -64,7 +64,7 @@
 			return c, nil
 		})
 	}
-	mux.HandleFunc("GET /registry/rota", r.serveRota)
+	mux.HandleFunc("GET /registry/rota", r.onLeader(r.serveRota))
 	mux.HandleFunc("POST /registry/rota/requests", r.writeHandler("request", r.requestTurns))
 	mux.HandleFunc("DELETE /registry/rota/requests/{id}", r.writeHandler("", func(req *http.Request) (machine.Command, error) {
 		return &rota.Command{Op: "rota-withdraw", Request: rota.Request{ID: req.PathValue("id")}}, nil
@@ -77,10 +77,6 @@
 
 // serveRota answers with the whole record, from the leader.
 func (r *Replica) serveRota(w http.ResponseWriter, req *http.Request) {
-	if !r.Leader() {
-		r.forward(w, req)
-		return
-	}
 	if !r.fresh() {
 		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
 		return
