Know a session as one's own that expired before its answer came

Cause: its session had been opened anew and the answer lost; it stalled, the session expired, and then the last incarnation was above the one it knew, so it took itself for superseded. Ruled out: a rival (none was started for n2), the TTL. Change: the record keeps which process had the last incarnation, the registry tells it, and the agent asks for that. The model and the registry read it from one place, Sessions.Told.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -136,7 +136,7 @@
 		a.incarnation, a.last = h.Session.Incarnation, h.Session.Incarnation
 		return nil
 	}
-	if a.last != 0 && h.Last > a.last {
+	if a.last != 0 && h.Last > a.last && h.Process != a.process {
 		return ErrSuperseded.Of(a.cfg.Node, nil)
 	}
 	s, err := a.reg.Open(ctx, Session{Node: a.cfg.Node, Site: a.cfg.Site, Process: a.process, Incarnation: h.Last + 1,
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -20,6 +20,7 @@
 // Held is what the registry says of a name: the highest incarnation there was, and its open session, if any.
 type Held struct {
 	Last    uint64   `json:"last"`
+	Process string   `json:"process"` // that had it
 	Session *Session `json:"session"`
 }
 
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -26,6 +26,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	start     time.Time
+	calls     sync.WaitGroup // under way
 	sessions  *Sessions
 	revision  int64
 	term      uint64
@@ -188,11 +189,7 @@
 		if l.collector == nil {
 			return h, ErrNoView.Of("model", nil)
 		}
-		if s, ok := l.sessions.Open[node]; ok {
-			h.Session = &s
-		}
-		h.Last = l.sessions.Last[node]
-		return h, nil
+		return l.sessions.Told(node), nil
 	})
 }
 
@@ -277,12 +274,12 @@
 		w := newWorld(seed)
 		w.trustArrival = planted
 		ctx, stop := context.WithCancel(context.Background())
-		var calls, all sync.WaitGroup
+		var all sync.WaitGroup
 		processes := map[string][]*process{}
 		start := func(node string) {
 			gone, kill := context.WithCancel(ctx)
 			name := fmt.Sprintf("%s.%d", node, len(processes[node])+1)
-			p := &process{link: &link{world: w, node: node, gone: gone, calls: &calls}, kill: kill, ended: make(chan error, 1)}
+			p := &process{link: &link{world: w, node: node, gone: gone, calls: &w.calls}, kill: kill, ended: make(chan error, 1)}
 			p.agent = NewAgent(AgentConfig{Node: node, Site: "a", Address: "127.0.0.1:1", Interval: modelInterval}, name, p.link,
 				func() Report { return Report{Figures: Figures{Connections: 1}} }, slog.New(slog.DiscardHandler))
 			processes[node] = append(processes[node], p)
@@ -357,7 +354,7 @@
 		w.mu.Unlock()
 		stop()
 		all.Wait()
-		calls.Wait()
+		w.calls.Wait()
 	})
 	return broken, timeline
 }
--- a/internal/fleet/session.go
+++ b/internal/fleet/session.go
@@ -62,11 +62,13 @@
 	// Last is the highest incarnation that each name ever had: an older process stays superseded after the newer
 	// one's session has ended.
 	Last map[string]uint64 `json:"last"`
+	// By is the process that had it: one whose session ended before it heard of it must know it as its own.
+	By map[string]string `json:"by"`
 }
 
 // NewSessions is a machine without a session.
 func NewSessions() *Sessions {
-	return &Sessions{Open: map[string]Session{}, Last: map[string]uint64{}}
+	return &Sessions{Open: map[string]Session{}, Last: map[string]uint64{}, By: map[string]string{}}
 }
 
 // Kind names the machine.
@@ -108,7 +110,7 @@
 		return machine.Outcome{}, ErrMalformed.Of(n.Node, fmt.Errorf("incarnation %d after %d", n.Incarnation, last))
 	}
 	n.Since = next
-	s.Open[n.Node], s.Last[n.Node] = n, n.Incarnation
+	s.Open[n.Node], s.Last[n.Node], s.By[n.Node] = n, n.Incarnation, n.Process
 	return machine.Outcome{Value: n}, nil
 }
 
@@ -123,6 +125,15 @@
 	return nil
 }
 
+// Told is what the registry says of a name.
+func (s *Sessions) Told(node string) Held {
+	h := Held{Last: s.Last[node], Process: s.By[node]}
+	if o, ok := s.Open[node]; ok {
+		h.Session = &o
+	}
+	return h
+}
+
 // All are the open sessions by name.
 func (s *Sessions) All() []Session {
 	out := make([]Session, 0, len(s.Open))
--- a/internal/registry/fleet.go
+++ b/internal/registry/fleet.go
@@ -192,13 +192,7 @@
 		return
 	}
 	var out fleet.Held
-	node := req.PathValue("node")
-	r.fsm.read(func(*State) {
-		out.Last = r.sessions.Last[node]
-		if s, ok := r.sessions.Open[node]; ok {
-			out.Session = &s
-		}
-	})
+	r.fsm.read(func(*State) { out = r.sessions.Told(req.PathValue("node")) })
 	answer(w, out)
 }
 
