Hear of a change within 6 s of discovery's return, whatever became of calls

Need: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call.

Ruled out: the loop (lists are taken in before anything else is sent) and pushed lists, whose pause is 1.5 s at the most.

Change: a refused call is repeated within 3.75 s at the most, drawn evenly from nothing on; a watch waits 3 s; whatever call hangs, a second one goes beside it after 3 s; a move is followed at once, with the whole list.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,10 +65,10 @@
 	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
 	fallWeight, riseWeight = 0.3, 0.01
 	// All nodes share one discovery, and a fleet that starts or is refused together calls it together. So
-	// calls are spread by chance over AskEvery/callParts for each node of the fleet, AskEvery/2 at most. A
-	// refused one is repeated after that span or AskEvery/rewatchParts, by half more or less and doubled each
-	// time, AskEvery at most. Where the rules tell no AskEvery it is askUntold.
-	callParts, rewatchParts, askUntold = 200, 20, 10 * time.Second
+	// calls are spread by chance over AskEvery/callParts for each node of the fleet, and refused ones over
+	// twice that or AskEvery/rewatchParts, doubled each time, callMost at most: a change counts as told 6 s
+	// after it could be heard whatever was refused. Where the rules tell no AskEvery it is askUntold.
+	callParts, rewatchParts, askUntold, callMost = 200, 20, 10 * time.Second, 3750 * time.Millisecond
 )
 
 // ---- State ----
@@ -319,9 +319,9 @@
 		// A refused or broken subscription leaves the node blind to drains: ask again.
 		if b.cfg.AskDiscovery {
 			b.state(&b.blind, true, false, "discovery refused: asking again", "")
-			wait := min(max(b.askEvery()/rewatchParts, b.callSpan())<<min(b.refusals, 10), b.askEvery())
+			wait := max(b.askEvery()/rewatchParts, b.callSpan()) << (min(b.refusals, 10) + 1)
 			b.refusals++
-			b.askIn(time.Duration((0.5 + b.rng.Float64()) * float64(wait)))
+			b.askIn(time.Duration(b.rng.Float64() * float64(min(wait, callMost))))
 		}
 		return
 	}
@@ -345,7 +345,7 @@
 
 // callSpan is the time over which the nodes of the fleet spread their calls to discovery.
 func (b *Balancer) callSpan() time.Duration {
-	return min(b.askEvery()/callParts*time.Duration(b.cfg.Instances), b.askEvery()/2)
+	return min(b.askEvery()/callParts*time.Duration(b.cfg.Instances), callMost)
 }
 
 func (b *Balancer) askEvery() time.Duration { return cmp.Or(b.cfg.Rules.AskEvery, askUntold) }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -22,18 +22,16 @@
 )
 
 const (
-	// watchWait is how long a watch asks discovery to wait. A cut-off discovery says nothing, so it is short:
-	// news is then late by no more than this and callSlack. Where each call costs discovery work it is longWait.
-	watchWait, longWait = 2 * time.Second, 20 * time.Second
-	// callSlack is how long an answer may take beyond that, and wholeWithin how long a whole list may take. All
-	// nodes share one discovery that takes calls in turn: one that is given up while it stands in line has cost its
-	// place all the same, and the next one waits behind it. So a node waits for its turn, and where discovery is
-	// overbooked hears from it that it won't come. Both stay below the 6 s after which all counts as told; where a watch
-	// waits longer see silentAfter.
-	callSlack, wholeWithin = 2500 * time.Millisecond, 5 * time.Second
-	// silentAfter is how long after the end of its wait a watch that has not answered counts as silent. What a silent
-	// watch misses counts as told 2 s after that end, so the node asks anew before, on a connection of its own.
-	silentAfter = time.Second
+	// A change counts as told 6 s after discovery had it and could be reached, whatever became of calls meanwhile. So no
+	// call is waited for alone for longer than half of that: watchWait is how long a watch asks discovery to wait, and
+	// longWait where each call costs discovery work. An answer that stays out for silentAfter beyond that is asked for
+	// again, on a connection of its own: the first one may be broken, or stand in discovery's line, and keeps its place.
+	watchWait, longWait, silentAfter = 2 * time.Second, 3 * time.Second, time.Second
+	// callSlack is how long an answer may take beyond its wait, and wholeWithin how long a whole list may take, which
+	// is asked for again after wholeAfter. All nodes share one discovery that takes calls in turn: one that is given
+	// up while it stands in line has cost its place all the same, and the next one waits behind it. So a node waits
+	// for its turn, and where discovery is overbooked hears from it that it won't come.
+	callSlack, wholeWithin, wholeAfter = 2500 * time.Millisecond, 5 * time.Second, 3 * time.Second
 	// dialWithin is how long connecting may take: that needs no turn.
 	dialWithin = time.Second
 	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
@@ -132,6 +130,7 @@
 	// costs discovery work for each line.
 	have    bool
 	after   int64
+	from    string        // the URL that it was read at
 	heard   bool          // since the start of the process; until then no call waits where lists are pushed
 	patient time.Duration // for a whole list
 
@@ -157,7 +156,7 @@
 			Transport: &http.Transport{
 				DialContext:            (&net.Dialer{Timeout: dialWithin}).DialContext,
 				MaxIdleConnsPerHost:    1,
-				MaxConnsPerHost:        2,
+				MaxConnsPerHost:        4, // two calls, and dials that were given up
 				IdleConnTimeout:        10 * time.Second,
 				MaxResponseHeaderBytes: 16 << 10,
 				DisableCompression:     true,
@@ -217,11 +216,14 @@
 	complain := limited{log: d.log}
 	wait, failed := retryLeast, 0
 	for ctx.Err() == nil {
-		watch := d.asked == nil
-		if d.asked != nil {
+		// Where discovery has moved, what it has to tell there counts as told soon, whenever the module would call.
+		watch := true
+		url, moved := d.where()
+		if d.asked != nil && (d.from == "" || d.from == url || d.replicas != nil) {
 			select {
 			case <-ctx.Done():
 				return
+			case <-moved:
 			case kind := <-d.asked:
 				if kind == balance.Unwatch {
 					continue
@@ -234,6 +236,7 @@
 			continue
 		}
 		complain.warn("discovery failed", "error", err)
+		d.unwatched() // what was asked for during the call has failed with it
 		d.lost()
 		d.nextReplica()
 		if d.asked != nil {
@@ -245,15 +248,27 @@
 		// The next replica is asked soon: waiting is for when all have failed, or news would be late by a wait for each
 		// replica that is down.
 		if failed++; len(d.replicas) > 0 && failed%len(d.replicas) != 0 {
-			pause(ctx, retryLeast/2+rand.N(retryLeast))
+			d.rest(ctx, retryLeast)
 			continue
 		}
-		// Nodes that lost discovery together must not come back to it in step.
-		pause(ctx, wait/2+rand.N(wait))
+		d.rest(ctx, wait)
 		wait = min(2*wait, retryMost)
 	}
 }
 
+// rest waits, by half more or less, since nodes that lost discovery together must not come back to it in step. It ends
+// when discovery has moved.
+func (d *discovery) rest(ctx context.Context, wait time.Duration) {
+	_, moved := d.where()
+	t := time.NewTimer(wait/2 + rand.N(wait))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-moved:
+	case <-t.C:
+	}
+}
+
 // followMoves follows discovery from one address to the next until a call fails.
 func (d *discovery) followMoves(ctx context.Context, watch bool) (heard bool, err error) {
 	for {
@@ -278,16 +293,16 @@
 			return heard, err
 		}
 		d.http.CloseIdleConnections()
-		if d.replicas != nil {
-			continue // another replica of the same registry: the watch goes on
-		}
-		d.have = false // it may number its lists in another way there
-		d.log.Info("discovery moved: reading the whole list there")
 	}
 }
 
 // follow reads the whole list, or goes on from the one that is known, and watches, if it is to, until a call fails.
 func (d *discovery) follow(ctx context.Context, url string, watch bool) (heard bool, err error) {
+	if d.from != "" && d.from != url && d.replicas == nil { // replicas are of one registry: the watch goes on
+		d.have = false // it may number its lists in another way there
+		d.log.Info("discovery moved: reading the whole list there")
+	}
+	d.from = url
 	for ctx.Err() == nil {
 		query, within := "", d.patient
 		if watch && d.have {
@@ -299,10 +314,13 @@
 			within = d.wait + callSlack
 		}
 		var list List
-		if query == "" || len(d.replicas) > 1 { // a silent replica is left for the next
+		switch {
+		case len(d.replicas) > 1: // a silent one is left for the next
 			list, err = d.call(ctx, url+query, within)
-		} else {
-			list, err = d.watch(ctx, url, query)
+		case query == "":
+			list, err = d.callTwice(ctx, url, url, wholeAfter, within)
+		default:
+			list, err = d.callTwice(ctx, url+query, fmt.Sprintf("%s?after=%d&wait_ms=0", url, d.after), d.wait+silentAfter, within)
 		}
 		if errors.Is(err, errMalformed) {
 			d.have = false // it told something that was missed
@@ -330,28 +348,28 @@
 	return heard, nil
 }
 
-// watch makes a call that may wait. Where its answer stays out for silentAfter it asks for the changes at once beside it:
-// the watch may be broken, or stand in discovery's line, and keeps its place there. The first answer counts.
-func (d *discovery) watch(ctx context.Context, url, query string) (List, error) {
+// callTwice makes a call, and a second one beside it if the first has not been answered after so long. The first answer
+// counts.
+func (d *discovery) callTwice(ctx context.Context, first, second string, after, within time.Duration) (List, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	type answer struct {
 		list List
 		err  error
 	}
-	answers := make(chan answer, 2) // of two calls at the most
+	answers := make(chan answer, 2)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	defer cancel()
 	open := 0
-	start := func(query string, within time.Duration) {
+	start := func(url string, within time.Duration) {
 		open++
 		calls.Go(func() {
-			list, err := d.call(ctx, url+query, within)
+			list, err := d.call(ctx, url, within)
 			answers <- answer{list, err}
 		})
 	}
-	start(query, d.wait+callSlack)
-	silent := time.NewTimer(d.wait + silentAfter)
+	start(first, within)
+	silent := time.NewTimer(after)
 	defer silent.Stop()
 	for {
 		select {
@@ -360,19 +378,21 @@
 				return a.list, a.err
 			}
 		case <-silent.C:
-			d.log.Info("watch silent: asking beside it", "after", d.after)
-			start(fmt.Sprintf("?after=%d&wait_ms=0", d.after), callSlack)
+			d.log.Info("discovery silent: asking beside it", "url", second)
+			start(second, callSlack)
 		}
 	}
 }
 
-// unwatched tells whether the module has ended its subscription.
-func (d *discovery) unwatched() bool {
-	select {
-	case kind := <-d.asked:
-		return kind == balance.Unwatch
-	default:
-		return false
+// unwatched takes in what the module has asked for meanwhile and tells whether it has ended its subscription.
+func (d *discovery) unwatched() (ended bool) {
+	for {
+		select {
+		case kind := <-d.asked:
+			ended = kind == balance.Unwatch
+		default:
+			return ended
+		}
 	}
 }
 
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -119,7 +119,8 @@
 		d := newDiscovery("127.0.0.1:1", nil, names, quiet(), func(List) {}, func() {})
 		d.http = &http.Client{Transport: &scripted{answer: func(int, string) (time.Duration, string) { return 0, "" }}}
 		start := time.Now()
-		_, err := d.watch(t.Context(), "http://127.0.0.1:1/", "?after=1&wait_ms=2000")
+		const url = "http://127.0.0.1:1/?after=1&wait_ms="
+		_, err := d.callTwice(t.Context(), url+"2000", url+"0", d.wait+silentAfter, d.wait+callSlack)
 		if spent := time.Since(start); !errors.Is(err, context.DeadlineExceeded) || spent != d.wait+silentAfter+callSlack {
 			t.Errorf("%v after %v", err, spent)
 		}
