Let a connection to a backend rest 10 ms before it carries another request

Ruled out: surplus that comes with the answer (such connections are ended already) or while one is idle (usable looks).

--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -207,6 +207,36 @@
 	}
 }
 
+// A second answer that comes a moment late is nobody's either: the connection rests before it carries another request.
+func TestLateSecondAnswerReachesNobody(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		first, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.WriteString(c, ok200(first.Header.Get("X-Trace-Id")))
+		c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		br.Peek(1) // the next request may come first
+		io.WriteString(c, ok200(first.Header.Get("X-Trace-Id")))
+		c.SetReadDeadline(time.Time{})
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.WriteString(c, ok200(r.Header.Get("X-Trace-Id")))
+		}
+	})
+	x := exchangesFor(t)
+	x.pool.settle = time.Second
+	to := endpoint{addr: b.Addr().String()}
+	for _, id := range []string{"one", "two"} {
+		if r := try(t, x, to, get(id)); r.status != balance.Delivered || string(r.body) != id {
+			t.Errorf("%s: status %v, answer %q", id, r.status, r.body)
+		}
+	}
+}
+
 // An attempt given up ends its connection, and its late answer is nobody's.
 func TestAttemptGivenUpEndsItsConnection(t *testing.T) {
 	begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -430,6 +430,9 @@
 
 // pause waits, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,10 @@
 	idleAt time.Time
 }
 
+// settleFor is how long a connection rests before it is used again. A backend may have more to say a moment after its
+// answer, another one even, and what is asked meanwhile would take that for its own.
+const settleFor = 10 * time.Millisecond
+
 // errNoRoom says that the node may open no more connections now.
 var errNoRoom = errors.New("no descriptor left for a connection to a backend")
 
@@ -34,6 +39,7 @@
 type pool struct {
 	dialer net.Dialer
 	keep   time.Duration // how long one may stand idle
+	settle time.Duration // how long one rests at the least
 
 	dials atomic.Int64 // since the loop last counted them
 
@@ -56,7 +62,7 @@
 		most:   most,
 		// A backend closes an idle connection at idleClose at the latest, and a request that crosses that is
 		// a reset that may have run: stay well below.
-		keep: idleClose * 7 / 10,
+		keep: idleClose * 7 / 10, settle: min(settleFor, idleClose/10),
 		idle: map[endpoint][]*conn{},
 	}
 }
@@ -68,6 +74,10 @@
 		if c == nil {
 			break
 		}
+		if pause(ctx, p.settle-time.Since(c.idleAt)); ctx.Err() != nil {
+			p.idled(c)
+			return nil, ctx.Err()
+		}
 		if c.usable() {
 			return c, nil
 		}
@@ -88,23 +98,30 @@
 	return c, nil
 }
 
+// take takes the idle connection that was used last of those that have rested, or else the first one that will have.
 func (p *pool) take(to endpoint) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		list := p.idle[to]
-		if len(list) == 0 {
-			return nil
-		}
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		p.setIdle(to, list[:len(list)-1])
-		if time.Since(c.idleAt) < p.keep {
-			return c
-		}
-		c.Close()
+	now := time.Now()
+	list := p.idle[to]
+	old := 0
+	for old < len(list) && now.Sub(list[old].idleAt) >= p.keep {
+		list[old].Close()
 		p.open--
+		old++
 	}
+	list = list[old:]
+	if len(list) == 0 {
+		p.setIdle(to, nil)
+		return nil
+	}
+	i := len(list) - 1
+	for i > 0 && now.Sub(list[i].idleAt) < p.settle {
+		i--
+	}
+	c := list[i]
+	p.setIdle(to, slices.Delete(list, i, i+1))
+	return c
 }
 
 func (p *pool) setIdle(to endpoint, list []*conn) {
@@ -171,9 +188,16 @@
 // put takes back a connection whose last answer came whole.
 func (p *pool) put(c *conn) {
 	c.idleAt = time.Now()
+	p.idled(c)
+}
+
+// idled counts a connection among the idle ones, in the order of their last use.
+func (p *pool) idled(c *conn) {
 	p.mu.Lock()
-	p.idle[c.to] = append(p.idle[c.to], c)
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	list := p.idle[c.to]
+	at, _ := slices.BinarySearchFunc(list, c, func(a, b *conn) int { return a.idleAt.Compare(b.idleAt) })
+	p.idle[c.to] = slices.Insert(list, at, c)
 }
 
 // discard ends a connection.
