Keep a repeat from going out after its window when its connection comes up late

Suspected: the module decides on a repeat of a keyed request while its window lasts (balance.go, mayGo), and the attempt then dials for up to the connect time-out before its first byte goes (backend.go, exchange). Seen in a test that holds the second dial past the window: 200, at a backend twice. Ruled out: attempts that hang in a dial past the client's deadline or a drain (the context and unsend bar those).

Change: Send tells the time in which the first byte has to go; an attempt that comes later is barred, which proves that it never ran.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,4 @@
-// The interface of this package (Config, Event, Action) is in balance/types.go.
-// This file holds all decisions but those of cold.go, comeback.go and signs.go, and every tuning constant.
+// The interface of this package is in balance/types.go; this file holds every tuning constant.
 
 package balance
 
@@ -207,11 +206,9 @@
 	}
 	cfg.Instances, cfg.Limits.MaxAttempts = max(cfg.Instances, 1), max(cfg.Limits.MaxAttempts, 1)
 	var perSecond float64 // as far as it is told
-	for _, t := range cfg.Tenants {
-		perSecond += t.QuotaPerSecond / float64(cfg.Instances)
-	}
 	shares := make([]share, len(cfg.Tenants))
-	for i := range shares {
+	for i, t := range cfg.Tenants {
+		perSecond += t.QuotaPerSecond / float64(cfg.Instances)
 		shares[i].left = shareLeast
 	}
 	return &Balancer{
@@ -511,10 +508,13 @@
 		to: s, at: b.now, met: met, wait: met * b.pace(s), pending: true, mayRun: true})
 	s.credit -= b.work(r)
 	r.pending++
-	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1})
-	if r.open {
-		r.attempts[len(r.attempts)-1].open = true
-	} else {
+	n := len(r.attempts) - 1
+	act := Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: n}
+	if first := r.firstRun(); r.class.Effect == Keyed && first != &r.attempts[n] {
+		act.Within = first.at + r.class.Window - b.now // a connection may take long to come up
+	}
+	b.do(act)
+	if r.attempts[n].open = r.open; !r.open {
 		b.begin(r)
 	}
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -208,6 +208,31 @@
 	}
 }
 
+// An attempt after one that may have run has what is left of the window to begin in; others begin when they can.
+func TestRepeatsBeginWithinTheWindow(t *testing.T) {
+	for class, want := range map[int]time.Duration{safe: 0, keyedAll: 300 * ms} {
+		r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
+		r.b.retries = 5
+		first := of(Send, r.arrive("x", class))
+		if len(first) != 1 || first[0].Within != 0 {
+			t.Fatalf("the first attempt: %+v", first)
+		}
+		r.wait(200 * ms)
+		r.outcome("x", 0, first[0].Backend, Dropped)
+		if again := of(Send, r.last); len(again) != 1 || again[0].Within != want {
+			t.Errorf("class %d, the repeat: %+v", class, r.last)
+		}
+	}
+	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
+	r.b.retries = 5
+	first := of(Send, r.arrive("x", keyedAll))
+	r.wait(200 * ms)
+	r.outcome("x", 0, first[0].Backend, Shed) // it never ran: the window has not begun
+	if again := of(Send, r.last); len(again) != 1 || again[0].Within != 0 {
+		t.Errorf("after one that never ran: %+v", r.last)
+	}
+}
+
 func TestNothingReadyIsRefusedAtOnce(t *testing.T) {
 	r := newRig(t, site())
 	for class := range site().Classes {
--- a/balance/types.go
+++ b/balance/types.go
@@ -272,7 +272,7 @@
 
 // Kinds of actions, with the Action fields each one uses.
 const (
-	Send     ActionKind = iota // Request, Backend, Limit: launch the next attempt
+	Send     ActionKind = iota // Request, Backend, Limit, Within: launch the next attempt
 	Cancel                     // Request, Attempt: stop waiting for an attempt
 	Refuse                     // Request, RetryIn: final; trying again is harmless
 	Fail                       // Request: final; promises nothing
@@ -297,6 +297,7 @@
 	Backend BackendID
 	Attempt int
 	Limit   time.Duration // the attempt's time-out; 0: until the client quits
+	Within  time.Duration // the time in which its first byte has to go, or it must not; 0: any
 	RetryIn time.Duration // advice to the client; 0: none
 	In      time.Duration
 	Mark    uint64
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -87,6 +87,7 @@
 // call is an exchange under way.
 type call struct {
 	cancel context.CancelFunc
+	begin  time.Time // the latest at which its first byte may go; zero: any
 	state  atomic.Int32
 }
 
@@ -101,14 +102,14 @@
 // byte, and a dial may outlast the grace. It tells whether it came in time.
 func (c *call) bar() bool { return c.state.CompareAndSwap(callQueued, callBarred) }
 
-// attempt sends a message to an endpoint and calls done, from another goroutine, with how it ended. What is not
-// over by the deadline is ended then, and its connection with it.
-func (x *exchanges) attempt(to endpoint, m *message, deadline time.Time, done func(result)) *call {
+// attempt sends a message to an endpoint and calls done, from another goroutine, with how it ended. What has not begun
+// by begin, if that is told, never does; what is not over by the deadline is ended then, and its connection with it.
+func (x *exchanges) attempt(to endpoint, m *message, begin, deadline time.Time, done func(result)) *call {
 	ctx, cancel := context.WithCancel(context.Background())
 	if m.open == nil { // else its time begins with its last byte
 		ctx, cancel = context.WithDeadline(context.Background(), deadline)
 	}
-	c := &call{cancel: cancel}
+	c := &call{cancel: cancel, begin: begin}
 	go func() {
 		defer cancel()
 		start := time.Now()
@@ -129,7 +130,8 @@
 		x.failed(ctx, to, "no connection", err)
 		return result{status: balance.DialFailed}
 	}
-	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
+	late := !c.begin.IsZero() && !time.Now().Before(c.begin)
+	if ctx.Err() != nil || late || !c.state.CompareAndSwap(callQueued, callWriting) {
 		x.pool.discard(cn)
 		return result{status: balance.Unused}
 	}
@@ -376,7 +378,7 @@
 // probe asks an endpoint for its load report.
 func (x *exchanges) probe(to endpoint, done func(result)) {
 	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.addr, header: http.Header{}, probe: true},
-		time.Now().Add(probeWithin), func(r result) {
+		time.Time{}, time.Now().Add(probeWithin), func(r result) {
 			if r.status == balance.Delivered && r.load.Has == 0 {
 				r.load = x.report(string(r.body))
 			}
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -35,7 +35,7 @@
 func try(t *testing.T, x *exchanges, to endpoint, m *message) result {
 	t.Helper()
 	done := make(chan result, 1)
-	x.attempt(to, m, time.Now().Add(patience/2), func(r result) { done <- r })
+	x.attempt(to, m, time.Time{}, time.Now().Add(patience/2), func(r result) { done <- r })
 	return receive(t, "the outcome", done)
 }
 
@@ -249,7 +249,7 @@
 		}
 	})
 	x, done := exchangesFor(t), make(chan result, 2)
-	c := x.attempt(endpoint{addr: b.Addr().String()}, get("id"), time.Now().Add(patience), func(r result) { done <- r })
+	c := x.attempt(endpoint{addr: b.Addr().String()}, get("id"), time.Time{}, time.Now().Add(patience), func(r result) { done <- r })
 	receive(t, "the request at the backend", begun)
 	c.cancel()
 	receive(t, "the end of the connection", ended)
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -204,3 +205,74 @@
 		}
 	})
 }
+
+// A keyed request that may have run goes out again only within its window and its time, however long the connection takes
+// to come up.
+func TestRepeatsGoOutWithinTheWindow(t *testing.T) {
+	const window = 200 * time.Millisecond
+	for name, tc := range map[string]struct {
+		window  time.Duration
+		expires string
+		hold    time.Duration // how long the second connection takes; 0: until the answer
+		status  int
+		again   int
+	}{
+		"inside":   {time.Minute, "9.5", 1, http.StatusOK, 2},
+		"outside":  {window, "9.5", window, http.StatusBadGateway, 1},
+		"deadline": {time.Minute, "0.2", 0, http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var came, dials atomic.Int64
+			serve := func(c net.Conn, br *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					if r.Header.Get("X-Trace-Id") == "repeat" && came.Add(1) == 1 {
+						reset(c)
+						return
+					}
+					io.WriteString(c, ok200(""))
+				}
+			}
+			text := listText(1, true, listed{"s-0", newRawBackend(t, "127.0.0.1:0", serve).Addr().String(), "ready", 0},
+				listed{"s-1", newRawBackend(t, "127.0.0.1:0", serve).Addr().String(), "ready", 0})
+			n := start(t, testConfig(t, newRegistry(t, text).addr, text, `"window":5000000000`, fmt.Sprintf(`"window":%d`, tc.window)))
+			for range 15 { // so that the node may repeat any
+				do(t, ask(t, n.url+"/api/x", "read"))
+			}
+			n.pool.sweep(0)
+			dialing, dial := make(chan struct{}), make(chan struct{})
+			n.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+				if dials.Add(1) == 2 {
+					close(dialing)
+					<-dial
+				}
+				return nil
+			}
+			answered := make(chan int, 1)
+			go func() {
+				resp, _ := do(t, ask(t, n.url+"/api/x", "token", func(r *http.Request) {
+					r.Header.Set("X-Trace-Id", "repeat")
+					r.Header.Set("X-Expires-In", tc.expires)
+				}))
+				answered <- resp.StatusCode
+			}()
+			receive(t, "a second dial", dialing)
+			time.Sleep(tc.hold)
+			if tc.hold > 0 {
+				close(dial)
+			}
+			got := receive(t, "the answer", answered)
+			if tc.hold == 0 {
+				close(dial)
+			}
+			eventually(t, "an end of the attempts", func() bool { return n.open(t) == 0 })
+			if again := int(came.Load()); got != tc.status || again != tc.again {
+				t.Errorf("answered %d, at a backend %d times", got, again)
+			}
+		})
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -280,7 +280,11 @@
 			deadline = limit
 		}
 	}
-	at.call = l.back.attempt(b.to, &r.message, deadline, func(res result) {
+	var begin time.Time
+	if a.Within > 0 {
+		begin = time.Now().Add(a.Within)
+	}
+	at.call = l.back.attempt(b.to, &r.message, begin, deadline, func(res result) {
 		if !l.post(func() { l.outcome(r, n, res) }) && res.stream != nil {
 			res.stream.end(false)
 		}
