--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,7 +66,7 @@
 	// All nodes share one discovery, and a fleet that starts or is refused together calls it together. So
 	// calls are spread by chance over AskEvery/callParts for each node of the fleet, and refused ones over
 	// twice that or AskEvery/rewatchParts, doubled each time, callMost at most: a change counts as told 6 s
-	// after it could be heard whatever was refused. Where the rules tell no AskEvery it is askUntold.
+	// after it could be heard. AskEvery is held between a second and an hour, and askUntold if not told.
 	callParts, rewatchParts, askUntold, callMost = 200, 20, 10 * time.Second, 3750 * time.Millisecond
 )
 
@@ -204,6 +204,7 @@
 		}
 		aim.add(c.Aim.Seconds())
 	}
+	cfg.Rules.AskEvery = min(max(cmp.Or(cfg.Rules.AskEvery, askUntold), time.Second), time.Hour)
 	cfg.Instances, cfg.Limits.MaxAttempts = max(cfg.Instances, 1), max(cfg.Limits.MaxAttempts, 1)
 	var perSecond float64 // as far as it is told
 	shares := make([]share, len(cfg.Tenants))
@@ -316,7 +317,7 @@
 		// A refused or broken subscription leaves the node blind to drains: ask again.
 		if b.cfg.AskDiscovery {
 			b.state(&b.blind, true, false, "discovery refused: asking again", "")
-			wait := max(b.askEvery()/rewatchParts, b.callSpan()) << (min(b.refusals, 10) + 1)
+			wait := max(b.cfg.Rules.AskEvery/rewatchParts, b.callSpan()) << (min(b.refusals, 10) + 1)
 			b.refusals++
 			b.askIn(time.Duration(b.rng.Float64() * float64(min(wait, callMost))))
 		}
@@ -342,11 +343,9 @@
 
 // callSpan is the time over which the nodes of the fleet spread their calls to discovery.
 func (b *Balancer) callSpan() time.Duration {
-	return min(b.askEvery()/callParts*time.Duration(b.cfg.Instances), callMost)
+	return min(b.cfg.Rules.AskEvery/callParts*time.Duration(b.cfg.Instances), callMost)
 }
 
-func (b *Balancer) askEvery() time.Duration { return cmp.Or(b.cfg.Rules.AskEvery, askUntold) }
-
 // askIn asks for the list in a while.
 func (b *Balancer) askIn(wait time.Duration) { b.setTimer(wait, timer{}) }
 
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -4,14 +4,14 @@
 
 // This file decides on servers that have just started: what they can do, and what this node may send them.
 
-// warmth returns the part of its capacity that a server surely has by now.
+// warmth returns the part of its capacity that a server surely has by now; never nothing, as work is divided by it.
 func (b *Balancer) warmth(s *server) float64 {
 	launched, rules := b.launched(s), &b.cfg.Rules
 	age := b.now - launched
 	if launched == 0 || age >= rules.WarmWithin {
 		return 1
 	}
-	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
+	return max(rules.ColdShare+(1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds(), 0.01)
 }
 
 // coldTime is how long a cold server would take for a request, behind what is known to be there. Of others
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -119,6 +119,9 @@
 	if len(cfg.Settings.Classes) == 0 {
 		return Config{}, errors.New("settings: no classes")
 	}
+	if err := cfg.Settings.CheckNames(); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
 	if len(raw.Known) > 0 && !bytes.Equal(raw.Known, []byte("null")) {
 		if cfg.Known, err = parseList(raw.Known, cfg.Settings); err != nil {
 			return Config{}, fmt.Errorf("known: %w", err)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -219,7 +219,7 @@
 
 // run ends connections that have been idle for long, until ctx ends, and then all idle ones.
 func (p *pool) run(ctx context.Context) {
-	t := time.NewTicker(p.keep / 8)
+	t := time.NewTicker(max(p.keep/8, time.Millisecond))
 	defer t.Stop()
 	for ctx.Err() == nil {
 		select {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -156,6 +157,59 @@
 		return errors.New("prices: a negative price")
 	case len(c.LoadReport.Columns) > 4:
 		return errors.New("loadReport.columns: more than four")
+	case c.NInstances > mostInstances:
+		return fmt.Errorf("nInstances: more than %d", mostInstances)
+	case c.Tick < 0:
+		return errors.New("tick: negative")
+	}
+	return errors.Join(c.checkObligations(), c.checkClasses())
+}
+
+// mostInstances is more than any fleet has.
+const mostInstances = 1_000_000
+
+func (c *conf) checkObligations() error {
+	o := c.Obligations
+	for name, t := range map[string]int64{"graceToAnswer": o.GraceToAnswer, "drainGrace": o.DrainGrace,
+		"askEvery": o.AskEvery, "warmWithin": o.WarmWithin, "overloadFor": o.OverloadFor} {
+		if t < 0 {
+			return fmt.Errorf("obligations.%s: negative", name)
+		}
+	}
+	switch {
+	case o.ColdShare < 0 || o.ColdShare > 1:
+		return errors.New("obligations.coldShare: not a part of 1")
+	case o.FallMultiple < 0:
+		return errors.New("obligations.fallMultiple: negative")
+	}
+	return nil
+}
+
+func (c *conf) checkClasses() error {
+	for i, k := range c.Classes {
+		if min(k.Aim, k.Deadline, k.Window) < 0 {
+			return fmt.Errorf("classes[%d]: a negative aim, deadline or window", i)
+		}
+	}
+	for i, t := range c.Tenants {
+		if min(t.QuotaPerS, t.Share) < 0 {
+			return fmt.Errorf("tenants[%d]: a negative quotaPerS or share", i)
+		}
+	}
+	return nil
+}
+
+// CheckNames wants a name of its own for each class and tenant: on sockets requests say by it what they are.
+func (s *Settings) CheckNames() error {
+	for _, list := range []struct {
+		key   string
+		names []string
+	}{{"classes", s.Classes}, {"tenants", s.Tenants}} {
+		for i, name := range list.names {
+			if name == "" || slices.Index(list.names, name) < i {
+				return fmt.Errorf("%s[%d].name: %q is missing or given before", list.key, i, name)
+			}
+		}
 	}
 	return nil
 }
@@ -190,7 +244,8 @@
 	}
 	for _, k := range c.Classes {
 		cfg.Classes = append(cfg.Classes, balance.Class{
-			Aim: time.Duration(k.Aim), AimStretch: k.AimStretch, Deadline: time.Duration(k.Deadline),
+			// An aim that is not told is the deadline: all that is answered in time is worth the same.
+			Aim: time.Duration(cmp.Or(k.Aim, k.Deadline, int64(time.Second))), AimStretch: k.AimStretch, Deadline: time.Duration(k.Deadline),
 			Effect: balance.Effect(pick("effect", k.Effect, "side_effect", "token", "pure")),
 			Scope:  balance.Scope(pick("keyScope", k.KeyScope, "cell", "zone", "all")),
 			Window: time.Duration(k.Window), LateWorth: k.LateWorth, Points: k.Points, Stream: k.Stream,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,17 @@
 		`{"zone":2,"zones":["a"]}`:         "zone",
 		`{"membershipMode":"guess"}`:       "membershipMode",
 		`{"classes":[{"effect":"maybe"}]}`: "effect",
+
+		`{"nInstances":-1}`:                                "nInstances",
+		`{"nInstances":4000000000}`:                        "nInstances",
+		`{"tick":-1}`:                                      "tick",
+		`{"classes":[{"name":"a","deadline":-1}]}`:         "classes[0]",
+		`{"tenants":[{"name":"t","quotaPerS":-2}]}`:        "tenants[0]",
+		`{"obligations":{"coldShare":1.5}}`:                "coldShare",
+		`{"obligations":{"drainGrace":-5}}`:                "drainGrace",
+		`{"obligations":{"fallMultiple":-1}}`:              "fallMultiple",
+		`{"limits":{"connectTimeout":-1}}`:                 "limits",
+		`{"loadReport":{"columns":["a","b","c","d","e"]}}`: "columns",
 	} {
 		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v, want a word of %s", text, err, want)
