--- /dev/null
+++ b/internal/node/edges_test.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"glencart/balance"
+)
+
+// A list that comes when idle clients hold every place that there is for clients still works, after discovery was down and
+// whether it is pushed or asked for: a drain is heard of, and a new client is served by the new backend.
+func TestIdleClientsFillANodeWhileDiscoveryIsDown(t *testing.T) {
+	for _, mode := range []string{"push", "ask"} {
+		t.Run(mode, func(t *testing.T) {
+			old := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("old") }))
+			fresh := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("fresh") }))
+			before := listText(1, true, listed{"old", old.Addr().String(), "ready", 0})
+			after := listText(2, false, listed{"old", old.Addr().String(), "draining", 0}, listed{"fresh", fresh.Addr().String(), "ready", 0})
+			down, back := make(chan struct{}), make(chan struct{})
+			over := func(c chan struct{}) bool {
+				select {
+				case <-c:
+					return true
+				default:
+					return false
+				}
+			}
+			disco := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					query := r.URL.RawQuery
+					waits := query != "" && !strings.HasSuffix(query, "wait_ms=0")
+					if !over(down) && waits {
+						<-down // a watch that is open when it goes down
+					}
+					switch {
+					case !over(down):
+						io.WriteString(c, ok200(before))
+					case !over(back):
+						reset(c)
+						return
+					case query == "":
+						io.WriteString(c, ok200(strings.Replace(after, `"complete":false`, `"complete":true`, 1)))
+					case strings.HasPrefix(query, "after=2") && waits:
+						br.ReadByte()
+					default:
+						io.WriteString(c, ok200(after))
+					}
+				}
+			})
+			cfg := testConfig(t, disco.Addr().String(), before, `"zones"`, `"membershipMode":"`+mode+`","zones"`)
+			cfg.Limits.Sockets = leastSockets
+			n := start(t, cfg)
+			eventually(t, "readiness", n.loop.ready.Load)
+			close(down)
+			for i := range 4 * n.clients {
+				text := ""
+				if i%2 == 0 {
+					text = "GET /api/x HTTP/1.1\r\nHost: x\r\nX-Tr"
+				}
+				n.dialed(t, text)
+			}
+			eventually(t, "a node full of idle clients", func() bool { return n.front.held() >= n.clients*3/4 })
+			close(back)
+			eventually(t, "the drain", func() (heard bool) {
+				n.onLoop(t, func() { heard = n.loop.backends["old"].phase == balance.Draining })
+				return heard
+			})
+			if resp, body := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != http.StatusOK || body != "fresh" {
+				t.Errorf("a new client: %d %q", resp.StatusCode, body)
+			}
+			open, _ := n.pool.held()
+			if held := n.listener.held(); held+open+otherSockets > cfg.Limits.Sockets {
+				t.Errorf("%d connections of clients and %d to backends, of %d descriptors", held, open, cfg.Limits.Sockets)
+			}
+		})
+	}
+}
+
+// A process that starts beside a discovery that takes calls and answers none is ready on the list that it was given: at once
+// where lists are asked for, and long before 10 s where they are pushed (firstListWithin).
+func TestStartsReadyBesideASilentDiscovery(t *testing.T) {
+	if firstListWithin > 5*time.Second {
+		t.Errorf("a pushed list is waited for for %v", firstListWithin)
+	}
+	silent := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) { io.Copy(io.Discard, br) })
+	known := listText(1, true, listed{"s", echo(t).Addr().String(), "ready", 0})
+	n := start(t, testConfig(t, silent.Addr().String(), known, `"zones"`, `"membershipMode":"ask","zones"`))
+	eventually(t, "readiness", n.loop.ready.Load)
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != http.StatusOK {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
+
+// What a draining backend has is finished there, and passed on whole; what comes after goes elsewhere.
+func TestDrainFinishesWhatHangs(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 8)
+	old := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+		held <- struct{}{}
+		<-hold
+		return ok200("old")
+	}))
+	before := listText(1, true, listed{"old", old.Addr().String(), "ready", 0})
+	reg := newRegistry(t, before)
+	n := start(t, testConfig(t, reg.addr, before))
+	first := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, n.url+"/api/x", "order"))
+		first <- body
+	}()
+	receive(t, "the request at the backend", held)
+	reg.next <- listText(2, false, listed{"old", old.Addr().String(), "draining", 0}, listed{"new", echo(t).Addr().String(), "ready", 0})
+	eventually(t, "the drain", func() (heard bool) {
+		n.onLoop(t, func() { heard = n.loop.backends["old"].phase == balance.Draining })
+		return heard
+	})
+	if resp, body := do(t, ask(t, n.url+"/api/x", "order")); resp.StatusCode != http.StatusOK || body == "old" {
+		t.Errorf("after the drain: %d %q", resp.StatusCode, body)
+	}
+	close(hold)
+	if body := receive(t, "the answer that hung", first); body != "old" {
+		t.Errorf("the one that hung got %q", body)
+	}
+}
+
+// An answer that breaks off, however it is worded and cut, may have run and is nobody's answer; one that stops within a line
+// holds its connection no longer than the attempt may take, and half a line on an idle connection is never read as an answer.
+func TestAnswersThatBreakOff(t *testing.T) {
+	for name, text := range map[string]string{
+		"half a line": "HTTP/1.1 20", "half a head": "HTTP/1.1 200 OK\r\nContent-Le", "no length": "HTTP/1.1 200 OK\r\n\r\nabc",
+		"a length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", "chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	} {
+		for how, want := range map[string]balance.Status{"reset": balance.Dropped, "silence": balance.Expired} {
+			if name == "no length" {
+				want = balance.Dropped // its head says enough: nothing would tell whether it is whole
+			}
+			t.Run(name+","+how, func(t *testing.T) {
+				ended := make(chan struct{}, 1)
+				b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					io.WriteString(c, text)
+					if how == "reset" {
+						reset(c)
+					}
+					br.ReadByte()
+					ended <- struct{}{}
+				})
+				x, to := exchangesFor(t), endpoint{addr: b.Addr().String()}
+				done := make(chan result, 1)
+				x.attempt(to, get("id"), time.Time{}, time.Now().Add(300*time.Millisecond), func(r result) { done <- r })
+				if r := receive(t, "the outcome", done); r.status != want || len(r.body) > 0 {
+					t.Errorf("status %v with %q", r.status, r.body)
+				}
+				receive(t, "the end of the connection", ended)
+				if open, _ := x.pool.held(); open != 0 {
+					t.Errorf("%d connections held", open)
+				}
+			})
+		}
+	}
+	t.Run("while idle", func(t *testing.T) {
+		wrote := make(chan struct{})
+		b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.WriteString(c, ok200(r.Header.Get("X-Trace-Id")))
+			if r.Header.Get("X-Trace-Id") == "one" {
+				io.WriteString(c, "HTTP/1.1 2")
+				close(wrote)
+			}
+			br.ReadByte()
+		})
+		x, to := exchangesFor(t), endpoint{addr: b.Addr().String()}
+		for _, id := range []string{"one", "two"} {
+			if r := try(t, x, to, get(id)); r.status != balance.Delivered || string(r.body) != id {
+				t.Errorf("%s: status %v, %q", id, r.status, r.body)
+			}
+			<-wrote
+		}
+	})
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -30,7 +30,7 @@
 
 // settleFor is how long a connection rests before it is used again. A backend may have more to say a moment after its
 // answer, another one even, and what is asked meanwhile would take that for its own.
-const settleFor = 10 * time.Millisecond
+const settleFor = 6 * time.Millisecond
 
 // errNoRoom says that the node may open no more connections now.
 var errNoRoom = errors.New("no descriptor left for a connection to a backend")
