End a process only once who is being served has the answer; tell time-outs within a line

TestClientThatLeftInTheBacklog held its clients by resting the listener, which an accept that had begun could pass (once under load): now they come before the node accepts at all.

Reading ahead takes its buffer only where more than one byte comes.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -316,10 +316,13 @@
 	}
 }
 
-// broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
+// broken tells how an attempt ended that was written whole and got no whole answer. It may have run. A time-out within a
+// line shows as a malformed one, as net/http takes what came of it for all.
 func (x *exchanges) broken(ctx context.Context, err error) balance.Status {
+	until, timed := ctx.Deadline()
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded),
+		timed && !time.Now().Before(until):
 		return balance.Expired
 	case ctx.Err() != nil:
 		return balance.Revoked
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -204,6 +204,21 @@
 	}
 }
 
+// finish ends what is left: who is not being served never will be, and who is has the answer first, unless ctx ends.
+func (f *front) finish(ctx context.Context) {
+	for {
+		f.mu.Lock()
+		for c := range f.conns {
+			endBetween(c, true)
+		}
+		f.mu.Unlock()
+		if f.busy() == 0 || ctx.Err() != nil {
+			return
+		}
+		pause(ctx, lookEvery)
+	}
+}
+
 // longestIdle returns the connection that has kept the node waiting longest, if any. One that has begun a request may
 // take headPatience times as long: a slow client is still one that asks.
 func (f *front) longestIdle() net.Conn {
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -171,6 +171,47 @@
 	}
 }
 
+// Before the server's own end, which closes everything, who is being served has the answer, and who is not is ended for good.
+func TestFinishWaitsForWhoIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(newLoop(nil, nil, newFigures(nil), quiet()), testNames(), 64, quiet())
+		conn := func() *boundedConn {
+			client, server := net.Pipe()
+			t.Cleanup(func() { client.Close() })
+			framed := &framedConn{Conn: server, opened: time.Now()}
+			c := &boundedConn{Conn: framed, framed: framed, release: func() {}}
+			f.track(c, http.StateNew)
+			return c
+		}
+		served, waits := conn(), conn()
+		served.framed.heads = []head{{}}
+		served.framed.take()
+		done := make(chan struct{})
+		go func() { f.finish(t.Context()); close(done) }()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		ended := func(c *boundedConn) bool {
+			c.framed.mu.Lock()
+			defer c.framed.mu.Unlock()
+			return c.framed.ended
+		}
+		if ended(served) || !ended(waits) {
+			t.Errorf("ended: the one being served %v, the other %v", ended(served), ended(waits))
+		}
+		select {
+		case <-done:
+			t.Error("finished under a request")
+		default:
+		}
+		f.track(served, http.StateActive)
+		f.track(served, http.StateIdle)
+		<-done
+		if waits.framed.take(); waits.framed.serving {
+			t.Error("what was read after the end is served")
+		}
+	})
+}
+
 // lateConn does something between a read and its return.
 type lateConn struct {
 	net.Conn
--- a/internal/node/edges_test.go
+++ b/internal/node/edges_test.go
@@ -159,7 +159,7 @@
 				done := make(chan result, 1)
 				x.attempt(to, get("id"), time.Time{}, time.Now().Add(300*time.Millisecond), func(r result) { done <- r })
 				if r := receive(t, "the outcome", done); r.status != want || len(r.body) > 0 {
-					t.Errorf("status %v with %q", r.status, r.body)
+					t.Errorf("status %v with %q after %v", r.status, r.body, r.spent)
 				}
 				receive(t, "the end of the connection", ended)
 				if open, _ := x.pool.held(); open != 0 {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -66,7 +66,7 @@
 	if c.left > 0 && !c.last {
 		p = p[:min(int64(len(p)), c.left)]
 	} else if c.waits(len(p)) {
-		return 0, c.lookAhead()
+		return 0, c.lookAhead(p)
 	}
 	var n int
 	var err error
@@ -105,16 +105,18 @@
 
 // lookAhead keeps what comes behind a message that is being served, until the client leaves or the server stops waiting.
 // The server itself would stop at the first byte, and never hear that a client has sent more and left.
-func (c *framedConn) lookAhead() error {
-	var piece [1 << 10]byte
+func (c *framedConn) lookAhead(piece []byte) error {
 	for len(c.surplus) <= aheadMost {
-		n, err := c.Conn.Read(piece[:])
+		n, err := c.Conn.Read(piece)
 		if !c.last { // else no message may follow
 			c.surplus = append(c.surplus, piece[:n]...)
 		}
 		if err != nil {
 			return err
 		}
+		if len(piece) == 1 { // which is all that most need
+			piece = make([]byte, 1<<10)
+		}
 	}
 	return errFlood
 }
@@ -138,7 +140,7 @@
 func (c *framedConn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.partly || c.serving || len(c.heads) > 0
+	return !c.ended && (c.partly || c.serving || len(c.heads) > 0)
 }
 
 // endBetween ends the connection if no message is being served, nor has begun to come in unless that doesn't matter. It
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -72,14 +72,21 @@
 		for _, more := range []int{0, 1, 3} {
 			t.Run(fmt.Sprintf("%s,more=%d", name, more), func(t *testing.T) {
 				addr, came, _ := hanging(t)
-				n := startOn(t, addr)
-				eventually(t, "readiness", n.loop.ready.Load)
-				n.listener.rest(true)
-				for i := range 8 {
-					c := n.dialed(t, strings.Repeat(reading(fmt.Sprintf("left-%d", i)), 1+more))
+				text := listText(1, true, listed{"s", addr, "ready", 0})
+				made, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
+				if err != nil {
+					t.Fatal(err)
+				}
+				for i := range 8 { // nothing is accepted yet
+					c, err := net.Dial("tcp", made.Addr().String())
+					if err != nil {
+						t.Fatal(err)
+					}
+					io.WriteString(c, strings.Repeat(reading(fmt.Sprintf("left-%d", i)), 1+more))
 					leave(c)
 				}
-				n.listener.rest(false)
+				n := running(t, made)
+				eventually(t, "readiness", n.loop.ready.Load)
 				n.nothingElse(t, came)
 			})
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,6 +249,9 @@
 	for n.front.large && (n.front.inFlight.Load() > 0 || n.front.handed.Load() && n.front.busy() > 0) {
 		time.Sleep(lookEvery)
 	}
+	last, end := context.WithTimeout(context.Background(), longest)
+	defer end()
+	n.front.finish(last)
 	srv.Close()
 	n.log.Info("left")
 	if err != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -227,6 +227,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return running(t, n)
+}
+
+// running runs a node.
+func running(t *testing.T, n *Node) *started {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &started{Node: n, url: "http://" + n.Addr().String(), stop: cancel, err: make(chan error, 1)}
 	ended := make(chan struct{})
