--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// A request that is held for its probes is not sent on when its client has left meanwhile, and the next one is.
+func TestHeldRequestOfAClientThatLeft(t *testing.T) {
+	cfg := site()
+	cfg.Prices.Probe = 0 // each arrival may probe several
+	r := newRig(t, cfg, member(1, 0, 0), member(2, 0, 0), member(3, 0, 0))
+	r.do(Event{Kind: RequestArrived, Request: "left", Class: safe, Budget: time.Second})
+	r.do(Event{Kind: RequestArrived, Request: "stays", Class: safe, Budget: time.Second})
+	if len(r.b.held) != 2 {
+		t.Fatalf("%d requests are held", len(r.b.held))
+	}
+	r.do(Event{Kind: ClientGone, Request: "left"})
+	if sent := of(Send, r.do(Event{Kind: Timer, Mark: r.b.lastMark})); len(sent) != 1 || sent[0].Request != "stays" {
+		t.Errorf("sent %+v", sent)
+	}
+	if len(r.b.requests) != 1 {
+		t.Errorf("%d requests are kept", len(r.b.requests))
+	}
+}
+
 // Requests are forgotten once they are over, or a node grows until it dies.
 func TestRequestsAreForgotten(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
