Make one look at a socket serve both the pool and the clients' side

Need: the clients' side had written again what the pool asks of an idle connection, and a test what another one dials with. Change: lookAt, which asks without reading and repeats an interrupted call; Control in place of Read at the pool too, which nobody else reads.

--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -11,19 +11,6 @@
 	"time"
 )
 
-// dialer connects to a node and writes a text.
-func dialer(t *testing.T, n *started) func(text string) net.Conn {
-	return func(text string) net.Conn {
-		c, err := net.Dial("tcp", n.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		io.WriteString(c, text)
-		return c
-	}
-}
-
 // However many connections stand idle or half written, requests on new ones are served, and so are those of clients
 // that keep using theirs.
 func TestCrowdsLockNobodyOut(t *testing.T) {
@@ -31,7 +18,7 @@
 	cfg := testConfig(t, newRegistry(t, list).addr, list)
 	cfg.Admin, cfg.StateDir, cfg.Limits.Sockets = "127.0.0.1:0", t.TempDir(), 128
 	n := start(t, cfg)
-	dial := dialer(t, n)
+	dial := func(text string) { n.dialed(t, text) }
 	kept := &http.Transport{}
 	defer kept.CloseIdleConnections()
 	for i := range 8 * n.clients {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -155,40 +155,12 @@
 	return true
 }
 
-// sight is what a look at the receiving side of a connection shows.
-type sight int
-
-const (
-	nothingWaits sight = iota
-	bytesWait
-	peerLeft // it has closed its side or reset the connection
-)
-
 // look tells what has come on the connection and was not read.
 func (c *framedConn) look() sight {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nothingWaits
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return peerLeft
-	}
-	seen := nothingWaits
-	// Control, as the server may be reading at the same time.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
-		case n > 0:
-			seen = bytesWait
-		case err == nil, err != syscall.EAGAIN && err != syscall.EINTR:
-			seen = peerLeft
-		}
-	})
-	if err != nil {
-		return peerLeft // closed by this side
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return lookAt(sc)
 	}
-	return seen
+	return nothingWaits
 }
 
 // gone tells whether the client has left, before anything is done for what it sent. What was sent behind the request
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -253,19 +253,5 @@
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && alive
+	return ok && lookAt(sc) == nothingWaits
 }
--- /dev/null
+++ b/internal/node/sight.go
@@ -0,0 +1,39 @@
+package node
+
+import "syscall"
+
+// sight is what a look at the receiving side of a connection shows.
+type sight int
+
+const (
+	nothingWaits sight = iota
+	bytesWait
+	peerLeft // it has closed its side or reset the connection, or this side has
+)
+
+// lookAt tells what has come on a connection and was not read, and reads none of it.
+func lookAt(c syscall.Conn) sight {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return peerLeft
+	}
+	seen := nothingWaits
+	// Control and not Read, as somebody may be reading at the same time.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for err == syscall.EINTR {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
+		switch {
+		case n > 0:
+			seen = bytesWait
+		case err != syscall.EAGAIN:
+			seen = peerLeft
+		}
+	})
+	if err != nil {
+		return peerLeft
+	}
+	return seen
+}
