--- a/internal/node/sight.go
+++ b/internal/node/sight.go
@@ -21,14 +21,10 @@
 	// Control and not Read, as somebody may be reading at the same time.
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		for err == syscall.EINTR {
-			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		}
-		switch {
+		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
 		case n > 0:
 			seen = bytesWait
-		case err != syscall.EAGAIN:
+		case err != syscall.EAGAIN && err != syscall.EINTR:
 			seen = peerLeft
 		}
 	})
