Rest connections to backends only after one has had more than its answer

Change: connections rest for two minutes after any of them has had bytes behind its answer or while it was idle.

TestLateSecondAnswerReachesNobody as before, in a pool that is wary; TestSurplusMakesThePoolWary for what makes it so.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -223,6 +223,9 @@
 	// What ends with its connection is whole if the other side says so by an orderly end.
 	delimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	done := func(whole bool) {
+		if whole && cn.read.Buffered() > 0 {
+			x.pool.beWary()
+		}
 		if !whole || resp.Close || delimited || cn.read.Buffered() > 0 || m.open != nil {
 			x.pool.discard(cn)
 			return
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -207,7 +207,8 @@
 	}
 }
 
-// A second answer that comes a moment late is nobody's either: the connection rests before it carries another request.
+// A second answer that comes a moment late is nobody's either: once a backend has sent more than an answer, be it with one or
+// while a connection was idle, connections rest before they carry another request.
 func TestLateSecondAnswerReachesNobody(t *testing.T) {
 	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
 		first, err := http.ReadRequest(br)
@@ -229,6 +230,7 @@
 	})
 	x := exchangesFor(t)
 	x.pool.settle = time.Second
+	x.pool.beWary()
 	to := endpoint{addr: b.Addr().String()}
 	for _, id := range []string{"one", "two"} {
 		if r := try(t, x, to, get(id)); r.status != balance.Delivered || string(r.body) != id {
@@ -237,6 +239,35 @@
 	}
 }
 
+func TestSurplusMakesThePoolWary(t *testing.T) {
+	for name, late := range map[string]bool{"with the answer": false, "while idle": true} {
+		wrote := make(chan struct{}, 1)
+		b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			if late {
+				io.WriteString(c, ok200(""))
+				io.WriteString(c, "x")
+			} else {
+				io.WriteString(c, ok200("")+"x")
+			}
+			wrote <- struct{}{}
+			br.ReadByte()
+		})
+		x, to := exchangesFor(t), endpoint{addr: b.Addr().String()}
+		if x.pool.rest() != 0 {
+			t.Error("wary from the start")
+		}
+		try(t, x, to, get("one"))
+		<-wrote
+		eventually(t, name+": rest", func() bool {
+			try(t, x, to, get("another"))
+			return x.pool.rest() == settleFor
+		})
+	}
+}
+
 // An attempt given up ends its connection, and its late answer is nobody's.
 func TestAttemptGivenUpEndsItsConnection(t *testing.T) {
 	begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -29,8 +29,9 @@
 }
 
 // settleFor is how long a connection rests before it is used again. A backend may have more to say a moment after its
-// answer, another one even, and what is asked meanwhile would take that for its own.
-const settleFor = 6 * time.Millisecond
+// answer, another one even, and what is asked meanwhile would take that for its own. A rest costs time and, with little
+// to spare, processor: it is kept for waryFor after some connection has had more than its answer.
+const settleFor, waryFor = 6 * time.Millisecond, 2 * time.Minute
 
 // errNoRoom says that the node may open no more connections now.
 var errNoRoom = errors.New("no descriptor left for a connection to a backend")
@@ -42,6 +43,7 @@
 	settle time.Duration // how long one rests at the least
 
 	dials atomic.Int64 // since the loop last counted them
+	wary  atomic.Int64 // Unix time, in nanoseconds, until which connections rest
 
 	mu   sync.Mutex
 	most int                  // connections, idle or not
@@ -74,12 +76,15 @@
 		if c == nil {
 			break
 		}
-		if pause(ctx, p.settle-time.Since(c.idleAt)); ctx.Err() != nil {
+		if pause(ctx, p.rest()-time.Since(c.idleAt)); ctx.Err() != nil {
 			p.idled(c)
 			return nil, ctx.Err()
 		}
-		if c.usable() {
+		switch c.sight() {
+		case nothingWaits:
 			return c, nil
+		case bytesWait:
+			p.beWary()
 		}
 		p.discard(c)
 	}
@@ -98,6 +103,17 @@
 	return c, nil
 }
 
+// beWary takes in that a backend has sent more than an answer.
+func (p *pool) beWary() { p.wary.Store(time.Now().Add(waryFor).UnixNano()) }
+
+// rest is how long a connection rests now.
+func (p *pool) rest() time.Duration {
+	if time.Now().UnixNano() < p.wary.Load() {
+		return p.settle
+	}
+	return 0
+}
+
 // take takes the idle connection that was used last of those that have rested, or else the first one that will have.
 func (p *pool) take(to endpoint) *conn {
 	p.mu.Lock()
@@ -115,8 +131,8 @@
 		p.setIdle(to, nil)
 		return nil
 	}
-	i := len(list) - 1
-	for i > 0 && now.Sub(list[i].idleAt) < p.settle {
+	i, rest := len(list)-1, p.rest()
+	for i > 0 && now.Sub(list[i].idleAt) < rest {
 		i--
 	}
 	c := list[i]
@@ -246,12 +262,14 @@
 	}
 }
 
-// usable tells whether an idle connection is still up, with nothing unread on it. A backend that was
-// restarted under its old address leaves connections behind that would swallow a request.
-func (c *conn) usable() bool {
+// sight tells whether an idle connection is still up, with nothing unread on it. A backend that was restarted under its
+// old address leaves connections behind that would swallow a request.
+func (c *conn) sight() sight {
 	if c.read.Buffered() > 0 {
-		return false
+		return bytesWait
+	}
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return lookAt(sc)
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	return ok && lookAt(sc) == nothingWaits
+	return peerLeft // nobody can tell
 }
