--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -119,14 +119,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	list := p.idle[to]
-	old := 0
-	for old < len(list) && now.Sub(list[old].idleAt) >= p.keep {
-		list[old].Close()
-		p.open--
-		old++
-	}
-	list = list[old:]
+	list := p.kept(p.idle[to], now, p.keep)
 	if len(list) == 0 {
 		p.setIdle(to, nil)
 		return nil
@@ -252,14 +245,18 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	for to, list := range p.idle {
-		n := 0
-		for n < len(list) && now.Sub(list[n].idleAt) >= keep {
-			list[n].Close()
-			p.open--
-			n++
-		}
-		p.setIdle(to, list[n:])
+		p.setIdle(to, p.kept(list, now, keep))
+	}
+}
+
+// kept ends the connections of a list that have been idle for so long, and returns the others.
+func (p *pool) kept(list []*conn, now time.Time, keep time.Duration) []*conn {
+	for len(list) > 0 && now.Sub(list[0].idleAt) >= keep {
+		list[0].Close()
+		p.open--
+		list = list[1:]
 	}
+	return list
 }
 
 // sight tells whether an idle connection is still up, with nothing unread on it. A backend that was restarted under its
