Take a reset met while looking ahead for a reset, and not for the end of an answer

Cause: exchanges.gather looks ahead with Peek to see whether more of an answer of untold length comes, and dropped any error but a time-out. The system tells of a reset once, so the read that followed saw an orderly end, and what had come of the answer passed for whole: 'answered as served with what no server made for the request'.

Ruled out: time (0.7 s left), repeats, streams under way, the client's side.

Change: an error of the look that is neither a time-out nor an orderly end ends the attempt.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -305,8 +305,11 @@
 		cn.SetReadDeadline(until)
 		_, err = cn.read.Peek(1)
 		cn.SetReadDeadline(deadline)
-		if timedOut(err) {
+		switch {
+		case timedOut(err):
 			return buf, false, nil
+		case err != nil && err != io.EOF:
+			return nil, false, err // the system tells of a reset once, and of an orderly end from then on
 		}
 	}
 }
--- a/internal/node/edges_test.go
+++ b/internal/node/edges_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"glencart/balance"
 )
 
@@ -191,3 +194,76 @@
 		}
 	})
 }
+
+// A reset is no end: an answer of untold length that is reset while the node waits to see whether it goes on is not whole, in
+// one exchange as well as for a client. The node is held just before it waits, until the backend has reset the connection.
+func TestResetAnswerOfUntoldLengthIsNotWhole(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(net.Conn)
+		want balance.Status
+	}{{"reset", reset, balance.Dropped}, {"orderly end", func(c net.Conn) { c.Close() }, balance.Delivered}} {
+		t.Run(tc.name, func(t *testing.T) {
+			over := make(chan struct{})
+			b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nabc")
+				<-over
+				tc.end(c)
+			})
+			x, to := exchangesFor(t), endpoint{addr: b.Addr().String()}
+			x.large = true
+			nc, err := net.Dial("tcp", to.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			held := &heldConn{TCPConn: nc.(*net.TCPConn), between: func() { close(over); awaitEnd(t, nc) }}
+			cn := &conn{Conn: held, to: to}
+			cn.limit.R, cn.read = held, bufio.NewReader(&cn.limit)
+			x.pool.reserve()
+			x.pool.put(cn)
+			r := try(t, x, to, get("id"))
+			if r.stream != nil { // held for longer than the node waits: what comes next is passed on
+				if err := r.stream.copyTo(httptest.NewRecorder(), func() {}); err != nil {
+					r.status = balance.Dropped
+				}
+			}
+			if r.status != tc.want {
+				t.Errorf("status %v with %q, want %v", r.status, r.body, tc.want)
+			}
+		})
+	}
+}
+
+// heldConn calls between after the read that brought the first of an answer, and before the next one.
+type heldConn struct {
+	*net.TCPConn
+	between func()
+	reads   int
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads == 2 {
+		c.between()
+	}
+	return c.TCPConn.Read(p)
+}
+
+// awaitEnd waits until the other side's end of a connection, or its reset, has come in, and takes neither.
+func awaitEnd(t *testing.T, c net.Conn) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	eventually(t, "the end of the connection", func() (ended bool) {
+		raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			ended = err == nil && info.State != 1 // TCP_ESTABLISHED
+		})
+		return ended
+	})
+}
