--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/url"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -32,8 +31,6 @@
 	informMost = 8
 	// probeWithin is how long a probe may take: an answer that comes later tells of the past.
 	probeWithin = 150 * time.Millisecond
-	// holdWithin is how long an answer whose length is not told may be kept back to see whether it ends.
-	holdWithin = 30 * time.Millisecond
 	// reportHeader carries a load report, neverRanHeader tells that a request never ran.
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
 )
@@ -50,7 +47,6 @@
 	inline   bool          // answers carry load reports
 	written  *atomic.Int64 // counts the attempts that were written whole
 	complain *limited      // of load reports
-	large    bool          // bodies may be large
 	kept     *budget       // of answers kept whole
 	failing  *limited      // of attempts without a whole answer
 }
@@ -155,7 +151,7 @@
 	if !m.probe {
 		x.written.Add(1)
 	}
-	r, err := x.receive(cn, m, deadline, stop)
+	r, err := x.receive(cn, m, stop)
 	if err != nil {
 		x.pool.discard(cn)
 		x.failed(ctx, to, "no whole answer", err)
@@ -186,7 +182,7 @@
 			// After another error what the backend said before it broke off may still be read.
 		}
 	}()
-	r, err := x.receive(cn, m, time.Time{}, stop)
+	r, err := x.receive(cn, m, stop)
 	if err != nil {
 		m.open.leave()
 		x.pool.discard(cn) // from here on nothing more is written
@@ -211,7 +207,7 @@
 
 // receive reads an answer. One that is large or long in coming is left to be streamed. The connection goes back to the
 // pool, or is ended, when the answer is whole.
-func (x *exchanges) receive(cn *conn, m *message, deadline time.Time, stop func() bool) (result, error) {
+func (x *exchanges) receive(cn *conn, m *message, stop func() bool) (result, error) {
 	resp, err := cn.answer(m.method)
 	if err != nil {
 		return result{}, err
@@ -220,7 +216,7 @@
 	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
 		r.load = x.report(text)
 	}
-	// What ends with its connection is whole if the other side says so by an orderly end.
+	// What ends with its connection is whole if the other side says so by an orderly end: a reset is none.
 	delimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	done := func(whole bool) {
 		if whole && cn.read.Buffered() > 0 {
@@ -233,11 +229,7 @@
 		cn.SetDeadline(time.Time{})
 		x.pool.put(cn)
 	}
-	large := x.large && !m.probe && r.status == balance.Delivered
-	if !large && delimited {
-		return result{}, io.ErrUnexpectedEOF // nothing tells whether it is whole
-	}
-	body, ended, err := x.gather(cn, resp, large, deadline)
+	body, ended, err := x.gather(resp, !m.probe && r.status == balance.Delivered)
 	switch {
 	case err != nil:
 		return result{}, err
@@ -256,13 +248,14 @@
 	return r, nil
 }
 
-// gather reads an answer's body, if it can be kept whole, and otherwise what has come of it.
-func (x *exchanges) gather(cn *conn, resp *http.Response, large bool, deadline time.Time) (body []byte, ended bool, err error) {
+// gather reads an answer's body, if it can be kept whole, and otherwise what has come of it. One that serves nobody has to
+// be short.
+func (x *exchanges) gather(resp *http.Response, served bool) (body []byte, ended bool, err error) {
 	size := resp.ContentLength
 	switch {
-	case !large && size > bodyMost:
+	case !served && size > bodyMost:
 		return nil, false, errTooLong
-	case !large:
+	case !served:
 		body, err = io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
 		if err == nil && len(body) > bodyMost {
 			err = errTooLong
@@ -279,15 +272,15 @@
 		_, err = io.ReadFull(resp.Body, body)
 		return body, true, err
 	}
-	// Its length is not told: what ends soon is kept whole.
-	until := time.Now().Add(holdWithin)
+	// Its length is not told. What has not been passed on can still be answered otherwise, if it breaks off or never ends: so
+	// it is kept until it ends or its time does, up to a piece, or less where there is no room.
+	most := pieceSize
 	if x.kept.take(pieceSize) {
 		defer x.kept.give(pieceSize)
 	} else {
-		until = time.Now()
+		most = 1
 	}
 	for buf := make([]byte, 0, pieceSize); ; {
-		buf = slices.Grow(buf, 1)
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		switch {
@@ -295,21 +288,8 @@
 			return buf, true, nil
 		case err != nil:
 			return nil, false, err
-		case len(buf) >= pieceSize:
-			return buf, false, nil
-		case cn.read.Buffered() > 0:
-			continue
-		case deadline.IsZero():
-			return buf, false, nil
-		}
-		cn.SetReadDeadline(until)
-		_, err = cn.read.Peek(1)
-		cn.SetReadDeadline(deadline)
-		switch {
-		case timedOut(err):
+		case len(buf) >= most:
 			return buf, false, nil
-		case err != nil && err != io.EOF:
-			return nil, false, err // the system tells of a reset once, and of an orderly end from then on
 		}
 	}
 }
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -21,8 +21,8 @@
 	takeWithin = 10 * time.Second
 	// pieceSize is what is streamed at once.
 	pieceSize = 16 << 10
-	// bodyParts is the part of the memory limit that bodies kept whole may take.
-	bodyParts = 8
+	// bodyParts is the part of the memory limit that bodies kept whole may take, and keepParts the part of that for one.
+	bodyParts, keepParts = 8, 16
 	// usualMemory stands for a memory limit that is not told.
 	usualMemory = 192
 )
@@ -30,20 +30,26 @@
 var (
 	errTooLong = errors.New("body too long")
 	errUnread  = errors.New("the rest of the body is not wanted")
+	// errNoMemory says that other bodies take up what may be kept whole.
+	errNoMemory = errors.New("no memory left for the body now")
 )
 
 // pieces are buffers for what is streamed.
 var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
 
 // budget bounds the memory of all bodies that are kept whole.
-type budget struct{ left atomic.Int64 }
+type budget struct {
+	left atomic.Int64
+	one  int64 // the most that one request may take
+}
 
 func newBudget(memoryMB int64) *budget {
 	if memoryMB == 0 {
 		memoryMB = usualMemory
 	}
-	b := &budget{}
-	b.left.Store(memoryMB << 20 / bodyParts)
+	all := memoryMB << 20 / bodyParts
+	b := &budget{one: max(bodyMost, all/keepParts)}
+	b.left.Store(all)
 	return b
 }
 
@@ -56,6 +62,19 @@
 	return true
 }
 
+// room takes so many bytes for a request that has some already, if there is room for them. Of one that must be kept there is
+// for the first bodyMost: the descriptors bound how many there are.
+func (b *budget) room(had, n int64, must bool) bool {
+	if had+n <= b.one && b.take(n) {
+		return true
+	}
+	if must && had+n <= bodyMost {
+		b.force(n)
+		return true
+	}
+	return false
+}
+
 // force takes so many bytes of the budget even if they are not left.
 func (b *budget) force(n int64) { b.left.Add(-n) }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -58,7 +58,7 @@
 	leaving  atomic.Bool  // the node is about to end
 	handed   atomic.Bool  // another process accepts its connections
 	until    atomic.Int64 // Unix time, in nanoseconds, by which all has to be answered; 0: none
-	large    bool         // bodies may be large
+	large    bool         // bodies of any length are streamed, and connections kept in a crowd
 	kept     *budget      // of requests kept whole
 	fleet    *fleetPart   // nil: none
 
@@ -300,7 +300,7 @@
 		reject(w, hr, status, err.Error())
 		return
 	}
-	defer f.kept.give(int64(len(r.message.body)))
+	defer f.kept.give(r.taken)
 	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
 		if r.message.open == nil && c.gone() {
 			panic(http.ErrAbortHandler) // while it waited to be read: nobody wants what would be done for it
@@ -518,10 +518,13 @@
 		io.WriteString(sum, subject)
 		r.key, r.hasKey = sum.Sum64()>>11, true
 	}
-	body, open, err := f.body(w, hr, since)
+	body, open, taken, err := f.body(w, hr, since)
+	r.taken = taken
 	switch {
 	case errors.Is(err, errTooLong):
 		return nil, http.StatusRequestEntityTooLarge, err
+	case errors.Is(err, errNoMemory):
+		return nil, http.StatusServiceUnavailable, err // nothing has been sent on: it may come again
 	case err != nil:
 		return nil, http.StatusRequestTimeout, errors.New("body cut short")
 	case open == nil:
@@ -548,40 +551,59 @@
 	return r, 0, nil
 }
 
-// body reads a request's body if it can be kept whole. Else it returns what is to be streamed, where that is served.
-func (f *front) body(w http.ResponseWriter, hr *http.Request, since time.Time) ([]byte, *upload, error) {
-	size, most := hr.ContentLength, int64(bodyMost)
+// body reads a request's body if it can be kept whole, and tells what of the budget it has taken: a body that is whole can go
+// to another backend, and counts from its last byte. Else it returns what is to be streamed, where that is served: nothing of
+// what a peer sends without end may reach a backend otherwise.
+func (f *front) body(w http.ResponseWriter, hr *http.Request, since time.Time) (body []byte, open *upload, taken int64, err error) {
+	size, most := hr.ContentLength, f.kept.one
 	if f.large {
 		most = requestMost
 	}
 	if size > most {
-		return nil, nil, errTooLong
+		return nil, nil, 0, errTooLong
 	}
 	paced := newPacedBody(w, hr, since, most)
-	if size > bodyMost || size > 0 && !f.kept.take(size) {
-		if f.large {
-			return nil, &upload{src: paced, size: size}, nil
-		}
-		f.kept.force(size)
+	var ended bool
+	switch {
+	case size < 0:
+		body, taken, ended, err = f.gather(paced)
+	case size == 0 || f.kept.room(0, size, !f.large):
+		body, taken, ended = make([]byte, size), size, true
+		_, err = io.ReadFull(paced, body)
 	}
-	if size >= 0 {
-		body := make([]byte, size)
-		if _, err := io.ReadFull(paced, body); err != nil {
-			f.kept.give(size)
-			return nil, nil, err
-		}
-		paced.until(time.Time{})
-		return body, nil, nil
+	if err != nil {
+		f.kept.give(taken)
+		return nil, nil, 0, err
 	}
-	// Its length is not told.
-	body, err := io.ReadAll(io.LimitReader(paced, bodyMost+1))
 	switch {
-	case err != nil:
-		return nil, nil, err
-	case len(body) > bodyMost:
-		return nil, &upload{src: paced, size: size, head: body}, nil
+	case !ended && !f.large && taken+pieceSize > f.kept.one:
+		f.kept.give(taken)
+		return nil, nil, 0, errTooLong
+	case !ended && !f.large:
+		f.kept.give(taken)
+		return nil, nil, 0, errNoMemory
+	case !ended:
+		return nil, &upload{src: paced, size: size, head: body}, taken, nil
 	}
 	paced.until(time.Time{})
-	f.kept.force(int64(len(body)))
-	return body, nil, nil
+	return body, nil, taken, nil
+}
+
+// gather reads a body whose length is not told, as far as it can be kept.
+func (f *front) gather(src io.Reader) (body []byte, taken int64, ended bool, err error) {
+	for f.kept.room(taken, pieceSize, !f.large) {
+		taken += pieceSize
+		body = slices.Grow(body, pieceSize)
+		for room := len(body) + pieceSize; len(body) < room; {
+			n, err := src.Read(body[len(body):room])
+			body = body[:len(body)+n]
+			switch {
+			case err == io.EOF:
+				return body, taken, true, nil
+			case err != nil:
+				return nil, taken, false, err
+			}
+		}
+	}
+	return body, taken, false, nil
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -72,6 +72,7 @@
 	repeat   bool
 	deadline time.Time
 	message  message
+	taken    int64       // of the budget of bodies, by its own
 	reply    chan answer // takes the one final answer
 
 	attempts []*attempt
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,7 +79,7 @@
 	n.front.kept = newBudget(cfg.Limits.MemoryMB)
 	n.loop.back.kept = n.front.kept
 	n.front.most = min(n.front.most, int64(n.backends))
-	n.front.large, n.loop.back.large = cfg.Admin != "", cfg.Admin != ""
+	n.front.large = cfg.Admin != ""
 	n.disco = newDiscovery(cfg.Discovery, cfg.Registry, cfg.Settings, log,
 		func(list List) {
 			kind := balance.MembersChanged
