Cut no list of processes or backends below 1,024: reports and waiting datagrams

Seen: a report to the fleet's view was cut to 32 KiB, which is 102 backends with the longest ids and figures, and 64 datagrams could wait for peers, where a turn of the loop may tell each one.

Change: ReportMost is 256 KiB and the registry's bound follows it; one datagram for each peer may wait. The test of cut reports has ten times the backends, so that there still is something to cut; its assertions stand.

--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -9,8 +9,9 @@
 	"slices"
 )
 
-// reportMost bounds a report as JSON, in bytes; what would not fit is cut and counted.
-const reportMost = 32 << 10
+// ReportMost bounds a report's JSON. A backend takes up to 200 bytes of it, with the longest id, so that 1,024 of them and
+// the tenants fit.
+const ReportMost = 256 << 10
 
 // BackendLoad is what a node knows of one backend from its own decisions.
 type BackendLoad struct {
@@ -63,7 +64,7 @@
 	return nil
 }
 
-// Bounded is the report in at most reportMost bytes of JSON: backends with the least at stake are left out first, then
+// Bounded is the report in at most ReportMost bytes of JSON: backends with the least at stake are left out first, then
 // the lightest tenants, and Cut says how many entries are missing. Backends come by id.
 func (r Report) Bounded() (Report, error) {
 	r.Backends, r.ByConns, r.ByWork = slices.Clone(r.Backends), slices.Clone(r.ByConns), slices.Clone(r.ByWork)
@@ -73,7 +74,7 @@
 		switch {
 		case err != nil:
 			return Report{}, ErrMalformed.Of(r.Node, err)
-		case len(text) <= reportMost:
+		case len(text) <= ReportMost:
 			return r, nil
 		case !r.cut():
 			return Report{}, ErrMalformed.Of(r.Node, errors.New("too long with nothing left to cut"))
--- a/internal/fleet/sketch_test.go
+++ b/internal/fleet/sketch_test.go
@@ -70,7 +70,7 @@
 // A report stays within its bound, says how much is left out, and leaves out what has least at stake.
 func TestReportsAreBounded(t *testing.T) {
 	r := Report{Node: "n1", Incarnation: 1}
-	for i := range 2000 {
+	for i := range 20000 {
 		r.Backends = append(r.Backends, BackendLoad{ID: fmt.Sprintf("s-%08d", i), Estimate: 0.123, Outstanding: float64(i % 5)})
 	}
 	for i := range 32 {
@@ -80,7 +80,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(b.Backends)+b.Cut != 2000 || len(b.ByConns) != 32 || len(r.Backends) != 2000 {
+	if len(b.Backends)+b.Cut != 20000 || len(b.ByConns) != 32 || len(r.Backends) != 20000 {
 		t.Errorf("%d backends, %d cut, %d tenants", len(b.Backends), b.Cut, len(b.ByConns))
 	}
 	for i, x := range b.Backends {
@@ -92,3 +92,19 @@
 		}
 	}
 }
+
+// Nothing is left out for 1,024 backends with the longest ids and figures.
+func TestReportsHold1024Backends(t *testing.T) {
+	r := Report{Node: "n1", Incarnation: 1}
+	for i := range 1024 {
+		r.Backends = append(r.Backends, BackendLoad{ID: fmt.Sprintf("%0*d", keyMost, i),
+			Estimate: 1234.5678901234567 / 3, Outstanding: 1000.0 / 3, Failures: 1.0 / 3e6})
+	}
+	for i := range 64 {
+		heavy := Heavy{Key: fmt.Sprintf("%0*d", keyMost, i), Weight: 1000.0 / 3}
+		r.ByConns, r.ByWork = append(r.ByConns, heavy), append(r.ByWork, heavy)
+	}
+	if b, err := r.Bounded(); err != nil || b.Cut != 0 || len(b.Backends) != 1024 {
+		t.Errorf("%d backends, %d cut, %v", len(b.Backends), b.Cut, err)
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,8 +9,9 @@
 	"glencart/balance"
 )
 
-// datagramMost is the longest datagram between nodes.
-const datagramMost = 256
+// datagramMost is the longest datagram between nodes, and peersLeast how many may wait in a small fleet: only turns of the
+// loop that follow one another at once can fill that.
+const datagramMost, peersLeast = 256, 64
 
 // peers exchanges datagrams with the other nodes.
 type peers struct {
@@ -27,7 +28,8 @@
 
 // listenPeers opens the node's socket for datagrams.
 func listenPeers(cfg *Config) (*peers, error) {
-	p := &peers{out: make(chan datagram, 64)}
+	// One for each may be told in a turn of the loop, before any goes out.
+	p := &peers{out: make(chan datagram, max(len(cfg.Peers), peersLeast))}
 	for _, s := range cfg.Peers {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
--- /dev/null
+++ b/internal/node/size_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+
+	"glencart/balance"
+)
+
+// A node knows 1,024 backends and tells as many peers, and loses none of either; what that takes of memory is logged, for
+// a fleet of 350 and 500 too.
+func TestSizesOfALargeFleet(t *testing.T) {
+	for _, tc := range []struct{ nodes, backends int }{{350, 500}, {1024, 1024}} {
+		t.Run(fmt.Sprintf("%d nodes, %d backends", tc.nodes, tc.backends), func(t *testing.T) {
+			before := heapInUse()
+			b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("yes") }))
+			peer := udp(t)
+			var members []listed
+			for i := range tc.backends {
+				members = append(members, listed{id: fmt.Sprintf("s-%08x", i), addr: b.Addr().String(), phase: "ready"})
+			}
+			list := listText(1, true, members...)
+			cfg := testConfig(t, newRegistry(t, list).addr, list, `"nInstances":1`, fmt.Sprintf(`"nInstances":%d`, tc.nodes))
+			cfg.PeerListen = "127.0.0.1:0"
+			for range tc.nodes {
+				cfg.Peers = append(cfg.Peers, peer.LocalAddr().String())
+			}
+			n, err := New(cfg, quiet())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range tc.nodes { // before anything goes out
+				n.peers.tell(i, []byte("hello"))
+			}
+			if got := len(n.peers.out); got != tc.nodes {
+				t.Errorf("%d datagrams wait for %d peers", got, tc.nodes)
+			}
+			s := running(t, n)
+			eventually(t, "ready", s.loop.ready.Load)
+			var known, ready int
+			s.onLoop(t, func() {
+				for _, x := range s.loop.backends {
+					if known++; x.phase == balance.Ready {
+						ready++
+					}
+				}
+			})
+			if known != tc.backends || ready != tc.backends {
+				t.Errorf("%d of %d backends known, %d ready", known, tc.backends, ready)
+			}
+			if resp, body := do(t, ask(t, s.url+"/x", "read")); resp.StatusCode != http.StatusOK || body != "yes" {
+				t.Errorf("%d %q", resp.StatusCode, body)
+			}
+			t.Logf("heap in use: %d KiB more than before, the test's own parts included", (heapInUse()-before)>>10)
+		})
+	}
+}
+
+// heapInUse is the memory in use.
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/registry/fleet.go
+++ b/internal/registry/fleet.go
@@ -44,7 +44,7 @@
 const stampHeader = "X-Fleet-View"
 
 // reportBody bounds a report's body, which is longer than what fleet allows by its echo.
-const reportBody = 40 << 10
+const reportBody = fleet.ReportMost + 8<<10
 
 func sessionKey(node string) string { return "session:" + node }
 
