Tell the length of a rejection, so that it is whole before the rest of the body has come

Cause: reject worded 400, 405, 408 and 413 with http.Error, which drops the length; the answer went out in chunks, and the last one only when the body had been read to its end or 2.8 s had passed. A client that writes slowly, or waits for the answer, had it too late by that.

Ruled out: 503, 502 and 504, which carry a length of 0.

Change: the length is set and the text written without http.Error. The test reads the whole answer before the client has sent the rest, on virtual time: at once with the mend, after 2.8 s without (too long, and nameless in chunks).

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -325,10 +325,15 @@
 	return head{since: received}
 }
 
-// reject answers what can't be served, and ends the connection: the rest of the body is of no use.
+// reject answers what can't be served, and ends the connection: the rest of the body is of no use. With its length the
+// answer is whole at once, and not only when the rest has come: http.Error leaves the length out.
 func reject(w http.ResponseWriter, hr *http.Request, status int, text string) {
-	w.Header().Set("Connection", "close")
-	http.Error(w, text, status)
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.WriteHeader(status)
+	io.WriteString(w, text+"\n")
 	http.NewResponseController(w).Flush()
 	io.CopyN(io.Discard, hr.Body, lingerMost)
 }
--- a/internal/node/improper_test.go
+++ b/internal/node/improper_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -156,3 +157,32 @@
 		t.Errorf("answered %d", status)
 	}
 }
+
+// Who is turned away has the whole answer at once, also while the rest of its body is still to come: its time runs.
+func TestRejectionIsWholeAtOnce(t *testing.T) {
+	for name, head := range map[string]string{
+		"too long": "X-Trace-Id: a\r\nX-Qos: order\r\nContent-Length: 64000000\r\n\r\n",
+		"nameless": "X-Qos: order\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := inMemory(t).dial()
+				defer c.Close()
+				began := time.Now()
+				go io.WriteString(c, "POST /api/x HTTP/1.1\r\nHost: x\r\n"+head)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode/100 != 4 {
+					t.Errorf("%d, %v", resp.StatusCode, err)
+				}
+				if took := time.Since(began); took > 0 {
+					t.Errorf("whole after %v", took)
+				}
+				io.Copy(io.Discard, c)  // until the node has had enough of it
+				time.Sleep(time.Second) // the server waits for a while before it forgets the connection
+			})
+		})
+	}
+}
