--- a/internal/node/edges_test.go
+++ b/internal/node/edges_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+// What a whole list does not name is gone, also where it still answers: nothing that still dials goes there, and the rest goes
+// to who is named.
+func TestWhatAWholeListLeavesOutIsGone(t *testing.T) {
+	before := listText(1, true, listed{"old", echo(t).Addr().String(), "ready", 0})
+	reg := newRegistry(t, before)
+	n := start(t, testConfig(t, reg.addr, before))
+	reg.next <- listText(2, true, listed{"new", echo(t).Addr().String(), "ready", 0})
+	eventually(t, "the end of what is left out", func() (gone bool) {
+		n.onLoop(t, func() {
+			old, fresh := n.loop.backends["old"], n.loop.backends["new"]
+			gone = fresh != nil && fresh.takes() && !old.takes() && old.phase == balance.Gone
+		})
+		return gone
+	})
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "order")); resp.StatusCode != http.StatusOK {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
+
 // What a draining backend has is finished there, and passed on whole; what comes after goes elsewhere.
 func TestDrainFinishesWhatHangs(t *testing.T) {
 	hold, held := make(chan struct{}), make(chan struct{}, 8)
