--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -539,6 +539,18 @@
 			r.deadline = time.Unix(0, until)
 		}
 	}
+	endToEnd(h)
+	// Whatever Connection named, a backend needs these to tell a request from its repeat.
+	h.Set("X-Trace-Id", r.id)
+	if key != "" {
+		h.Set("Idempotency-Key", key)
+	}
+	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body, open: open, left: left - early}
+	return r, 0, nil
+}
+
+// endToEnd drops the headers that belong to one connection.
+func endToEnd(h http.Header) {
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -547,13 +559,6 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
-	// Whatever Connection named, a backend needs these to tell a request from its repeat.
-	h.Set("X-Trace-Id", r.id)
-	if key != "" {
-		h.Set("Idempotency-Key", key)
-	}
-	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body, open: open, left: left - early}
-	return r, 0, nil
 }
 
 // body reads a request's body if it can be kept whole, and tells what of the budget it has taken: a body that is whole can go
