Look for the end of a body behind the last byte that is kept

Cause: gather stopped once it had read what may be kept of a chunked body, without looking whether that was all. One of just that length was refused with 413 (503 where the budget was used up), where one with a length was served.

Change: one more read tells the end. A body that goes on beyond all bounds says so itself there, so the special case for it is gone. TestLongestBodyThatIsKept fails without (chunked: 413); the tests of bodies pass 5 times under -race.

--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -54,7 +54,7 @@
 }
 
 // A request over bodyMost that can be kept whole goes to another backend when the first one breaks off, in both forms and
-// without a second address, and long answers and such without a length come through. Beyond what is kept it is refused.
+// without a second address, and long answers and such without a length come through.
 func TestLongRequestsAreSentAgain(t *testing.T) {
 	text := noise(3 * bodyMost)
 	for name, size := range map[string]int64{"sized": int64(len(text)), "chunked": -1} {
@@ -92,6 +92,22 @@
 	}
 }
 
+// The longest body that is kept is served in both forms; TestMalformedRequests has the ones a byte longer.
+func TestLongestBodyThatIsKept(t *testing.T) {
+	reg := newRegistry(t, listText(1, true, listed{id: "s-a", addr: newRawBackend(t, "127.0.0.1:0", hashing).Addr().String(), phase: "ready"}))
+	cfg := testConfig(t, reg.addr, reg.whole)
+	cfg.Limits.MemoryMB = 8 // so that no more than bodyMost of a request is kept
+	n := start(t, cfg)
+	for _, size := range []int64{bodyMost, -1} {
+		resp, body := do(t, ask(t, n.url+"/x", "order", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(noise(bodyMost))), size
+		}))
+		if resp.StatusCode != 200 || !strings.HasPrefix(body, fmt.Sprint(bodyMost, " ")) {
+			t.Errorf("length %d: %d %.60q", size, resp.StatusCode, body)
+		}
+	}
+}
+
 // Bodies of any length reach a backend unchanged, in every form, and a large one is never whole in memory.
 func TestLargeRequestsAreStreamed(t *testing.T) {
 	n := startLarge(t, newRawBackend(t, "127.0.0.1:0", hashing))
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -586,9 +586,6 @@
 		return nil, nil, 0, err
 	}
 	switch {
-	case !ended && !f.large && taken+pieceSize > f.kept.one:
-		f.kept.give(taken)
-		return nil, nil, 0, errTooLong
 	case !ended && !f.large:
 		f.kept.give(taken)
 		return nil, nil, 0, errNoMemory
@@ -615,5 +612,13 @@
 			}
 		}
 	}
-	return body, taken, false, nil
+	var next [1]byte // one that ends just there is whole; one that goes on beyond all bounds says so itself
+	n, err := src.Read(next[:])
+	switch {
+	case n == 0 && err == io.EOF:
+		return body, taken, true, nil
+	case err != nil && err != io.EOF:
+		return nil, taken, false, err
+	}
+	return append(body, next[:n]...), taken, false, nil
 }
