--- /dev/null
+++ b/internal/node/accept_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// flakyListener fails a part of its calls of Accept with errors of the operating system.
+type flakyListener struct {
+	net.Listener
+	errs  []error
+	calls atomic.Int64
+	fails func(call int64) bool
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if call := l.calls.Add(1); l.fails(call) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: l.errs[call%int64(len(l.errs))]}
+	}
+	return l.Listener.Accept()
+}
+
+// passingErrors are what accept(2) may fail with for a moment, or passes on from a connection that has broken.
+var passingErrors = []error{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM,
+	syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH,
+	syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EINTR}
+
+// A node whose calls of accept fail for a moment, with whatever error, goes on serving all that comes.
+func TestServesWhileAcceptFails(t *testing.T) {
+	text := listText(1, true, listed{"s", echo(t).Addr().String(), "ready", 0})
+	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	flaky := &flakyListener{Listener: n.listener.Listener, errs: passingErrors, fails: func(call int64) bool { return call%3 != 1 }}
+	n.listener.Listener = flaky
+	s := running(t, n)
+	eventually(t, "readiness", s.loop.ready.Load)
+	began := time.Now()
+	for range 2 * len(passingErrors) {
+		if resp, _ := do(t, ask(t, s.url+"/api/x", "order")); resp.StatusCode != http.StatusOK {
+			t.Errorf("answered %d", resp.StatusCode)
+		}
+	}
+	if spent := time.Since(began); spent > patience/2 {
+		t.Errorf("took %v", spent)
+	}
+	select {
+	case err := <-s.err:
+		t.Fatalf("the node has ended: %v", err)
+	default:
+	}
+}
+
+// What waits in the backlog when a node is told to end, because accept fails just then, is served before the listener is
+// closed.
+func TestLeavingServesTheBacklogOnceAcceptWorksAgain(t *testing.T) {
+	text := listText(1, true, listed{"s", echo(t).Addr().String(), "ready", 0})
+	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failing atomic.Bool
+	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: []error{syscall.ENFILE},
+		fails: func(int64) bool { return failing.Load() }}
+	s := running(t, n)
+	eventually(t, "readiness", s.loop.ready.Load)
+	failing.Store(true)
+	s.dialed(t, "").Close() // ends the call of accept that waits already
+	s.stop()
+	eventually(t, "the drain", s.front.leaving.Load)
+	answered := make(chan int, 1)
+	go func() {
+		tr := &http.Transport{DisableKeepAlives: true}
+		resp, err := tr.RoundTrip(ask(t, s.url+"/api/x", "order"))
+		if err != nil {
+			t.Error(err)
+			answered <- 0
+			return
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	time.Sleep(lameDuck + 4*clearFor)
+	failing.Store(false)
+	if status := receive(t, "the answer", answered); status != http.StatusOK {
+		t.Errorf("answered %d", status)
+	}
+}
+
+// A listener that can never accept again ends the node, but only after it has answered what it has taken.
+func TestLostListenerEndsTheNodeInOrder(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 1)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+		held <- struct{}{}
+		<-hold
+		return ok200("done")
+	}))
+	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
+	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lost atomic.Bool
+	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: []error{syscall.EBADF},
+		fails: func(int64) bool { return lost.Load() }}
+	s := running(t, n)
+	eventually(t, "readiness", s.loop.ready.Load)
+	answered := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, s.url+"/api/x", "order"))
+		answered <- body
+	}()
+	receive(t, "the request at the backend", held)
+	lost.Store(true)
+	s.dialed(t, "").Close()
+	eventually(t, "the drain", s.front.leaving.Load)
+	close(hold)
+	if body := receive(t, "the answer", answered); body != "done" {
+		t.Errorf("answered %q", body)
+	}
+	if err := receive(t, "the end", s.err); err == nil {
+		t.Error("the node ended without an error")
+	}
+}
