Wait out errors of accept that pass, and end in order when the listener is lost

Cause: http.Server.Serve returns at each error of accept that is not Temporary in net's sense, which leaves out ENOBUFS, ENOMEM, ENETDOWN, EPROTO, EHOSTUNREACH and the rest of what accept(2) passes on, and Run took its return for the end (node.go, 'accepting'). The drain took 'there is room' for 'the backlog is empty' (door.go, full).

A drain waits until accept works again before it closes the listener. A listener that is lost for good starts a drain, and the process ends with an error afterwards; a lost second address is logged and ends nothing. The limited log moves to package lograte, as three packages need it.

--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,39 @@
+package accept
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+)
+
+// Errors of one connection and of a shortage pass, those of the listening socket do not, and a listener's own deadline is
+// its caller's to judge.
+func TestWhichErrorsPass(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET,
+		syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EINTR, syscall.ESOCKTNOSUPPORT} {
+		calls := 0
+		var failing bool
+		r := Retry{}
+		r.Failed = func(error) { failing = r.Failing() }
+		c, err := r.Accept(func() (net.Conn, error) {
+			if calls++; calls < 3 {
+				return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}
+			}
+			return &net.TCPConn{}, nil
+		})
+		if c == nil || err != nil || calls != 3 || !failing || r.Failing() {
+			t.Errorf("%v: connection %v, error %v after %d calls, failing %v, then %v", errno, c, err, calls, failing, r.Failing())
+		}
+	}
+	for _, final := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT, os.ErrDeadlineExceeded} {
+		r := Retry{}
+		_, err := r.Accept(func() (net.Conn, error) { return nil, fmt.Errorf("accept: %w", final) })
+		if !errors.Is(err, final) || r.Failing() {
+			t.Errorf("%v: got %v, failing %v", final, err, r.Failing())
+		}
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"glencart/internal/accept"
+	"glencart/internal/lograte"
 )
 
 const (
@@ -56,7 +59,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	s := &Server{listener: newListener(l, Conns), http: &http.Server{
+	complain := &lograte.Limited{Log: log}
+	retrying := accept.NewListener(l, func(err error) { complain.Warn("second address: accepting failed, trying again", "error", err) })
+	s := &Server{listener: newListener(retrying, Conns), http: &http.Server{
 		Handler: handler(n, log), ReadHeaderTimeout: callWithin, ReadTimeout: callWithin, WriteTimeout: answerWithin,
 		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		DisableGeneralOptionsHandler: true,
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/lograte"
 	"glencart/internal/settings"
 )
 
@@ -44,15 +45,15 @@
 type exchanges struct {
 	pool     *pool
 	host     string
-	inline   bool          // answers carry load reports
-	written  *atomic.Int64 // counts the attempts that were written whole
-	complain *limited      // of load reports
-	kept     *budget       // of answers kept whole
-	failing  *limited      // of attempts without a whole answer
+	inline   bool             // answers carry load reports
+	written  *atomic.Int64    // counts the attempts that were written whole
+	complain *lograte.Limited // of load reports
+	kept     *budget          // of answers kept whole
+	failing  *lograte.Limited // of attempts without a whole answer
 }
 
 func newExchanges(p *pool, inline bool, written *atomic.Int64, log *slog.Logger) *exchanges {
-	return &exchanges{pool: p, inline: inline, written: written, kept: newBudget(0), complain: &limited{log: log}, failing: &limited{log: log}}
+	return &exchanges{pool: p, inline: inline, written: written, kept: newBudget(0), complain: &lograte.Limited{Log: log}, failing: &lograte.Limited{Log: log}}
 }
 
 // message is what a client asked for, as it goes on to backends.
@@ -298,7 +299,7 @@
 // to tell.
 func (x *exchanges) failed(ctx context.Context, to endpoint, what string, err error) {
 	if !errors.Is(ctx.Err(), context.Canceled) {
-		x.failing.warn("attempt failed: "+what, "backend", to.addr, "error", err)
+		x.failing.Warn("attempt failed: "+what, "backend", to.addr, "error", err)
 	}
 }
 
@@ -382,7 +383,7 @@
 func (x *exchanges) report(text string) balance.Load {
 	l, err := parseReport(text)
 	if err != nil {
-		x.complain.warn("malformed load report", "error", err)
+		x.complain.Warn("malformed load report", "error", err)
 	}
 	return l
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/lograte"
 	"glencart/internal/settings"
 )
 
@@ -50,7 +51,7 @@
 	loop     *loop
 	names    settings.Settings
 	log      *slog.Logger
-	complain *limited
+	complain *lograte.Limited
 	most     int64 // requests at once
 	inFlight atomic.Int64
 	figures  *figures
@@ -71,7 +72,7 @@
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
 	return &front{loop: l, figures: l.figures, kept: newBudget(0), names: names, log: log,
-		complain: &limited{log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+		complain: &lograte.Limited{Log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]time.Time{}, heads: map[net.Conn]bool{}}
 }
 
@@ -270,7 +271,7 @@
 	// Set before anything else: what the library does with an unread body would wait for it without end.
 	http.NewResponseController(w).SetReadDeadline(h.since.Add(messageWithin))
 	if h.trouble != "" {
-		f.complain.warn("request refused for its framing", "trouble", h.trouble, "from", hr.RemoteAddr)
+		f.complain.Warn("request refused for its framing", "trouble", h.trouble, "from", hr.RemoteAddr)
 		reject(w, hr, http.StatusBadRequest, h.trouble) // nobody can tell where the next request would begin
 		return
 	}
@@ -385,7 +386,7 @@
 			http.NewResponseController(w).Flush() // the rest of the body may take long to come
 		}
 		if err != nil {
-			f.complain.warn("answer not passed on", "error", err)
+			f.complain.Warn("answer not passed on", "error", err)
 			abort(w, hr.ProtoAtLeast(1, 1) || a.stream.size >= 0)
 		}
 		end = a.kind
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/lograte"
 	"glencart/internal/settings"
 )
 
@@ -213,7 +214,7 @@
 // run follows discovery until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	defer d.http.CloseIdleConnections()
-	complain := limited{log: d.log}
+	complain := lograte.Limited{Log: d.log}
 	wait, failed := retryLeast, 0
 	for ctx.Err() == nil {
 		// Where discovery has moved, what it has to tell there counts as told soon, whenever the module would call.
@@ -235,7 +236,7 @@
 		if ctx.Err() != nil || err == nil {
 			continue
 		}
-		complain.warn("discovery failed", "error", err)
+		complain.Warn("discovery failed", "error", err)
 		d.unwatched() // what was asked for during the call has failed with it
 		d.lost()
 		d.nextReplica()
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -2,10 +2,14 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
 	"time"
+
+	"glencart/internal/accept"
+	"glencart/internal/lograte"
 )
 
 // limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
@@ -27,13 +31,21 @@
 	taken   int // accepted and not closed
 	resting bool
 	closed  bool
+
+	retry accept.Retry
 }
 
-// full tells whether connections have to wait.
-func (l *boundedListener) full() bool {
+// backlogged tells whether connections may have to wait in the backlog, for want of room or since accept fails.
+func (l *boundedListener) backlogged() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.taken >= l.most
+	return l.retry.Failing() || l.taken >= l.most
+}
+
+// logFailures has the listener log, at a bounded rate, failed calls of accept. It is called before the first Accept.
+func (l *boundedListener) logFailures(log *slog.Logger) {
+	complain := &lograte.Limited{Log: log}
+	l.retry.Failed = func(err error) { complain.Warn("accepting a connection failed: trying again", "error", err) }
 }
 
 // held is how many connections are open.
@@ -66,27 +78,15 @@
 	l.cond.Broadcast()
 }
 
+// Accept waits for room and a connection. It returns an error only when no later call could succeed: net/http would end the
+// server at most errors that pass.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
-		l.mu.Lock()
-		for !l.closed && (l.open >= l.most || l.resting) {
-			l.cond.Wait()
-		}
-		closed := l.closed
-		l.open++
-		l.mu.Unlock()
-		if closed {
-			return nil, net.ErrClosed
-		}
-		c, err := l.Listener.Accept()
-		l.mu.Lock()
-		resting := l.resting
-		if err == nil {
-			l.taken++
-		} else {
-			l.open--
+		if err := l.awaitRoom(); err != nil {
+			return nil, err
 		}
-		l.mu.Unlock()
+		c, err := l.retry.Accept(l.Listener.Accept)
+		resting := l.accepted(err)
 		if err == nil {
 			now := time.Now()
 			framed := &framedConn{Conn: c, opened: now, next: head{since: now}}
@@ -101,6 +101,32 @@
 	}
 }
 
+// awaitRoom waits until a connection may be accepted, and takes its place.
+func (l *boundedListener) awaitRoom() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.closed && (l.open >= l.most || l.resting) {
+		l.cond.Wait()
+	}
+	if l.closed {
+		return net.ErrClosed
+	}
+	l.open++
+	return nil
+}
+
+// accepted takes in how a call of accept ended, and tells whether the listener rests.
+func (l *boundedListener) accepted(err error) (resting bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.taken++
+	} else {
+		l.open--
+	}
+	return l.resting
+}
+
 func (l *boundedListener) release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/accept"
 )
 
 const (
@@ -213,14 +214,20 @@
 	}
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
+	heirs := accept.NewListener(l, func(err error) { n.log.Warn("accepting the next process failed: trying again", "error", err) })
 	for ctx.Err() == nil {
-		c, err := l.AcceptUnix()
+		accepted, err := heirs.Accept()
 		if err != nil {
 			if ctx.Err() == nil {
-				n.log.Error("no process can replace this one any more", "error", err)
+				n.log.Error("no process can replace this one any more: the next restart has to stop this one first", "error", err)
 			}
 			return
 		}
+		c, ok := accepted.(*net.UnixConn)
+		if !ok {
+			accepted.Close()
+			continue
+		}
 		done, err := n.handOver(ctx, c)
 		c.Close()
 		if done {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,12 +194,13 @@
 		wg.Go(func() { n.fleet.run(work) })
 	}
 	srv := n.front.server()
-	ended := make(chan error, 2)
-	go func() { ended <- srv.Serve(n.listener) }()
+	listenerLost := make(chan error, 1)
+	n.listener.logFailures(n.log)
+	go func() { listenerLost <- srv.Serve(n.listener) }()
 	if n.admin != nil {
 		wg.Go(func() {
 			if err := n.admin.Run(work); err != nil {
-				ended <- err
+				n.log.Error("the second address has ended, requests are served on: restart the node when it suits", "error", err)
 			}
 		})
 	}
@@ -212,14 +213,17 @@
 		replaced = make(chan struct{})
 		wg.Go(func() { n.succession(work, replaced) })
 	}
+	var lost error
 	select {
-	case err := <-ended:
-		return fmt.Errorf("accepting: %w", err)
+	case err := <-listenerLost:
+		// No later call could accept again. What has been taken is still owed.
+		lost = fmt.Errorf("accepting on %s, restart the node: %w", n.cfg.Listen, err)
+		n.log.Error("the listener is lost: ending", "error", err)
 	case <-replaced:
 		n.log.Info("replaced, and done")
 	case <-ctx.Done():
 	}
-	return n.leave(srv)
+	return errors.Join(lost, n.leave(srv))
 }
 
 // leave ends the node in order: it goes on accepting until nobody sends anything new, answers what it has taken,
@@ -238,7 +242,7 @@
 	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
 	for free := time.Duration(0); free < clearFor && ctx.Err() == nil; free += lookEvery {
 		pause(ctx, lookEvery)
-		if n.listener.full() {
+		if n.listener.backlogged() {
 			free = 0
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -403,7 +403,7 @@
 		defer c.Close()
 		silent = append(silent, c)
 	}
-	eventually(t, "a full node", n.listener.full)
+	eventually(t, "a full node", n.listener.backlogged)
 	waits := make(chan string, 1)
 	go func() {
 		_, body := do(t, ask(t, n.url+"/api/waits", "order"))
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -12,6 +13,8 @@
 	"strconv"
 	"time"
 
+	"glencart/internal/accept"
+	"glencart/internal/lograte"
 	"glencart/internal/machine"
 	"glencart/internal/problem"
 )
@@ -86,12 +89,18 @@
 		}
 		srv.Close()
 	}()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(retrying(ln, r.log)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
+// retrying has a listener wait out errors of accept that pass, and log them at a bounded rate.
+func retrying(ln net.Listener, log *slog.Logger) net.Listener {
+	complain := &lograte.Limited{Log: log}
+	return accept.NewListener(ln, func(err error) { complain.Warn("accepting a connection failed: trying again", "error", err) })
+}
+
 // fail answers with an error: its code, what failed and on what, and what an operator can do. An error that has no code
 // is one of the input.
 func fail(w http.ResponseWriter, err error) {
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -198,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	r.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: newStreamLayer(r.cfg, ln), MaxPool: 3,
+	r.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: newStreamLayer(r.cfg, retrying(ln, r.log)), MaxPool: 3,
 		Timeout: 5 * time.Second, Logger: hl})
 	rc := raft.DefaultConfig()
 	t := r.cfg.Timing
