Show that a step of the wall clock moves spans of time and warms cold backends

Need: deadlines, windows, waits and graces are spans of real time, and a start is told as a wall time of another machine.

Beside what was known (the deadline in a drain, the time of a client's last byte, the rest of connections), a new find: the node's clock is Unix time at its start plus what has run since, and starts are compared with it as told. After a step back of an hour, or of a minute, a backend that joins or restarts while the node runs counts as an hour old: warm, with no grant to bound it, so every node sends it a full share at once. After a step ahead it stays at its cold share for that hour. Put-backs by hand likewise. Ruled out: the Balancer, which only takes the times it is given; package discovery, which waits on monotonic times.

--- a/balance/cordon.go
+++ b/balance/cordon.go
@@ -63,3 +63,6 @@
 	}
 	return n
 }
+
+// PutBackAt is when a server was last put back by hand, on the Balancer's clock; 0: never.
+func (b *Balancer) PutBackAt(id BackendID) time.Duration { return b.cordons[id].backAt }
