Keep spans on the monotonic clock, and place told starts on it

Cause: front.until, framedConn.at and pool.wary held Unix times, and time.Unix(0, n) has no monotonic part; starts of backends (loop.list) and put-backs by hand (cordon) were compared with the loop's clock as told, which is Unix time at the process's start.

Put-backs seen while the node runs count from that moment. What a process hands on in a hand-over carries its clock, so the next one can shift it, and starts as discovery tells them.

Price: a restart that discovery tells late counts as that much later, so the node sends a little less at first. Not covered: the first list of a process has only the wall clock to go by.

One test's call of cordonFile.change and one of framedConn.at changed their types, not what they check.

--- a/balance/memory.go
+++ b/balance/memory.go
@@ -58,7 +58,8 @@
 		if s == nil || s.Launched != k.Launched {
 			continue
 		}
-		s.told, s.toldAt, s.more, s.heard, s.credit = k.Told, k.ToldAt, k.More, k.Heard, k.Credit
+		s.told, s.toldAt, s.more, s.credit = k.Told, min(b.now, k.ToldAt), k.More, k.Credit
+		s.heard = min(b.now, k.Heard)
 		s.time, s.depth, s.fails = k.Time, k.Depth, k.Fail
 		b.zones[s.Zone] = crowd{others: k.Others, reports: 1 / paceWeight, at: b.now}
 		b.all = b.zones[s.Zone]
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -21,6 +21,7 @@
 
 	"glencart/balance"
 	"glencart/internal/lograte"
+	"glencart/internal/monotime"
 	"glencart/internal/settings"
 )
 
@@ -55,13 +56,13 @@
 	most     int64 // requests at once
 	inFlight atomic.Int64
 	figures  *figures
-	crowded  int          // so many connections that idle ones give way
-	leaving  atomic.Bool  // the node is about to end
-	handed   atomic.Bool  // another process accepts its connections
-	until    atomic.Int64 // Unix time, in nanoseconds, by which all has to be answered; 0: none
-	large    bool         // bodies of any length are streamed, and connections kept in a crowd
-	kept     *budget      // of requests kept whole
-	fleet    *fleetPart   // nil: none
+	crowded  int             // so many connections that idle ones give way
+	leaving  atomic.Bool     // the node is about to end
+	handed   atomic.Bool     // another process accepts its connections
+	until    monotime.Atomic // by which all has to be answered; zero: no such time
+	large    bool            // bodies of any length are streamed, and connections kept in a crowd
+	kept     *budget         // of requests kept whole
+	fleet    *fleetPart      // nil: none
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
@@ -536,8 +537,8 @@
 	case open == nil:
 		// The time of a request counts from its last byte.
 		r.deadline = time.Now().Add(left - early)
-		if until := f.until.Load(); until > 0 && r.deadline.UnixNano() > until {
-			r.deadline = time.Unix(0, until)
+		if until := f.until.Load(); !until.IsZero() && monotime.At(r.deadline) > until {
+			r.deadline = until.Time()
 		}
 	}
 	endToEnd(h)
--- a/internal/node/cordon.go
+++ b/internal/node/cordon.go
@@ -21,7 +21,8 @@
 // followEvery is how often the file is looked at: far more often than a drain's grace.
 const followEvery = 50 * time.Millisecond
 
-// cordon is what is known of a backend that was ever taken out by hand. Times are Unix times in nanoseconds.
+// cordon is what is known of a backend that was ever taken out by hand. Times are Unix times in nanoseconds: marks that all
+// processes of the node read alike. What the module is told are the loop's own times (cordonTimes).
 type cordon struct {
 	Out   bool  `json:"out"`
 	Since int64 `json:"since"`          // when it was taken out last
@@ -87,7 +88,7 @@
 
 // change takes a backend out or puts it back in the file, and returns what then holds. What the process knows already
 // stands in for a file that was lost or damaged since.
-func (f *cordonFile) change(ctx context.Context, known cordons, id string, out bool, now time.Time) (cordons, error) {
+func (f *cordonFile) change(ctx context.Context, known cordons, id string, out bool, now time.Duration) (cordons, error) {
 	unlock, err := f.lock(ctx)
 	if err != nil {
 		return cordons{}, err
@@ -105,11 +106,11 @@
 		return c, nil // twice out is out once
 	}
 	if out {
-		one = cordon{Out: true, Since: now.UnixNano()}
+		one = cordon{Out: true, Since: int64(now)}
 	} else {
-		one.Out, one.Back = false, now.UnixNano()
+		one.Out, one.Back = false, int64(now)
 	}
-	c.Version = max(c.Version+1, now.UnixNano())
+	c.Version = max(c.Version+1, int64(now))
 	c.Backends = maps.Clone(c.Backends)
 	if c.Backends == nil {
 		c.Backends = map[string]cordon{}
@@ -195,7 +196,7 @@
 	if !heard {
 		return admin.ErrUnknown
 	}
-	c, err := t.n.cordons.change(ctx, known, id, out, time.Now())
+	c, err := t.n.cordons.change(ctx, known, id, out, wallClock())
 	if err != nil {
 		return err
 	}
--- a/internal/node/cordon_test.go
+++ b/internal/node/cordon_test.go
@@ -143,12 +143,12 @@
 		t.Errorf("path %q", f.path)
 	}
 	ctx := context.Background()
-	a, err := f.change(ctx, cordons{}, "a", true, time.Unix(10, 0))
+	a, err := f.change(ctx, cordons{}, "a", true, 10*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
 	os.Remove(f.path)
-	b, err := f.change(ctx, a, "b", true, time.Unix(9, 0))
+	b, err := f.change(ctx, a, "b", true, 9*time.Second)
 	if err != nil || !b.Backends["a"].Out || !b.Backends["b"].Out || b.Version <= a.Version {
 		t.Errorf("%+v, %v", b, err)
 	}
@@ -159,7 +159,7 @@
 	defer held()
 	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 	defer cancel()
-	if _, err := f.change(short, b, "a", false, time.Unix(11, 0)); err == nil {
+	if _, err := f.change(short, b, "a", false, 11*time.Second); err == nil {
 		t.Error("changed under another's lock")
 	}
 }
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"glencart/internal/monotime"
 )
 
 // However many connections stand idle or half written, requests on new ones are served, and so are those of clients
@@ -59,7 +61,7 @@
 			f.track(c, http.StateNew)
 			return c
 		}
-		heard := func(c *boundedConn) { c.framed.at.Store(time.Now().UnixNano()) }
+		heard := func(c *boundedConn) { c.framed.at.Store(monotime.Now()) }
 		expect := func(what string, want *boundedConn) {
 			t.Helper()
 			if got := f.longestIdle(); got != net.Conn(want) {
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -70,7 +70,7 @@
 	l.resting = resting
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		if resting {
-			d.SetDeadline(time.Unix(1, 0)) // wakes an Accept that waits
+			d.SetDeadline(time.Now()) // wakes an Accept that waits
 		} else {
 			d.SetDeadline(time.Time{})
 		}
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -8,9 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"glencart/internal/monotime"
 )
 
 const (
@@ -38,7 +39,7 @@
 	last    bool   // where this message ends only its reader can tell: no other may follow on the connection
 
 	opened time.Time
-	at     atomic.Int64 // Unix time of the last byte that came, in nanoseconds; 0: none has
+	at     monotime.Atomic // when the last byte came; zero: none has
 
 	mu      sync.Mutex
 	ended   bool   // this side has closed the connection
@@ -76,7 +77,7 @@
 	} else {
 		c.surplus = nil
 		if n, err = c.Conn.Read(p); n > 0 {
-			c.at.Store(time.Now().UnixNano())
+			c.at.Store(monotime.Now())
 		}
 	}
 	if n > 0 && !c.part() {
@@ -180,8 +181,8 @@
 
 // heard tells when the peer last sent something, or connected if it has not.
 func (c *framedConn) heard() (at time.Time, begun bool) {
-	if ns := c.at.Load(); ns > 0 {
-		return time.Unix(0, ns), true
+	if last := c.at.Load(); !last.IsZero() {
+		return last.Time(), true
 	}
 	return c.opened, false
 }
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -53,8 +53,9 @@
 
 // learned is what the module of the old process has learned, with discovery's id for each server in it.
 type learned struct {
-	Memory balance.Memory `json:"memory"`
+	Memory balance.Memory `json:"memory"` // times are by the old process's clock, starts as discovery tells them
 	IDs    []string       `json:"ids"`
+	Now    time.Duration  `json:"now"` // that clock as this was written; 0: not told
 }
 
 // handing passes the node from one process to the next. Two processes that run at once are one node.
@@ -419,9 +420,11 @@
 
 // remember returns what the module has learned.
 func (l *loop) remember() learned {
-	k := learned{Memory: l.bal.Remember()}
-	for _, s := range k.Memory.Servers {
-		k.IDs = append(k.IDs, l.byNumber[s.Backend].id)
+	k := learned{Memory: l.bal.Remember(), Now: l.now()}
+	for i := range k.Memory.Servers {
+		b := l.byNumber[k.Memory.Servers[i].Backend]
+		k.Memory.Servers[i].Launched = b.to.launched
+		k.IDs = append(k.IDs, b.id)
 	}
 	return k
 }
@@ -432,12 +435,21 @@
 	if len(k.IDs) != len(k.Memory.Servers) {
 		return nil
 	}
+	var ahead time.Duration // of this clock before the other: the wall clock may have been stepped between the two starts
+	if k.Now > 0 {
+		ahead = l.now() - k.Now
+	}
+	k.Memory.RolledAt += ahead
 	var own []balance.ServerMemory
 	for i, s := range k.Memory.Servers {
-		if b := l.backends[k.IDs[i]]; b != nil {
-			s.Backend = b.number
-			own = append(own, s)
+		b := l.backends[k.IDs[i]]
+		if b == nil || b.to.launched != s.Launched {
+			continue // unheard of, or another process by now
 		}
+		s.Backend, s.Launched = b.number, b.start
+		s.ToldAt += ahead
+		s.Heard += ahead
+		own = append(own, s)
 	}
 	k.Memory.Servers = own
 	return &k.Memory
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -18,7 +18,7 @@
 	inbox  chan func()
 	done   chan struct{} // closed when the loop has ended
 	start  time.Time
-	origin time.Duration // the clock at start: Unix time, which discovery's start times are in
+	origin time.Duration // the clock at start: Unix time then, which discovery's start times are in
 	log    *slog.Logger
 
 	back      *exchanges
@@ -28,13 +28,16 @@
 	worked    func(r *request, spent time.Duration) // a backend has served; nil: nobody asks
 	streams   map[string]int                        // answers still being passed on, by backend; nil: nobody asks
 
-	requests map[string]*request
-	backends map[string]*backend // by discovery's id
-	byNumber []*backend          // by the Balancer's id
-	cordons  cordons             // as the loop has taken them in
-	revision int64               // of the list
-	timers   timers
-	seq      uint64
+	requests    map[string]*request
+	backends    map[string]*backend    // by discovery's id
+	byNumber    []*backend             // by the Balancer's id
+	cordons     cordons                // as the loop has taken them in
+	cordonTimes map[string]cordonTimes // theirs, on the loop's clock
+	listedAt    time.Duration          // when discovery last told this process a list; 0: it has not yet
+	running     bool                   // what is told from now on has just happened
+	revision    int64                  // of the list
+	timers      timers
+	seq         uint64
 
 	events  []balance.Event // that wait for the one in hand
 	busy    bool
@@ -53,8 +56,9 @@
 	id     string
 	to     endpoint
 	phase  balance.Phase
-	out    bool  // taken out by hand
-	back   int64 // when it was put back last
+	out    bool          // taken out by hand
+	back   int64         // when it was put back last, as the record has it
+	start  time.Duration // when its process started, on the loop's clock
 	line   json.RawMessage
 }
 
@@ -119,11 +123,11 @@
 	return &loop{
 		bal: bal, back: back, figures: figures, log: log,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
-		start: start, origin: time.Duration(start.UnixNano()),
+		start: start, origin: wallClock(),
 		askAbout:  func(balance.ActionKind) {},
 		tellPeers: func(int, []byte) {},
 		askedOf:   func() int64 { return 0 },
-		requests:  map[string]*request{}, backends: map[string]*backend{},
+		requests:  map[string]*request{}, backends: map[string]*backend{}, cordonTimes: map[string]cordonTimes{},
 	}
 }
 
@@ -143,6 +147,7 @@
 // run serves until quit is closed.
 func (l *loop) run(quit <-chan struct{}) {
 	defer close(l.done)
+	l.running = true
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
@@ -437,7 +442,8 @@
 	members := make([]balance.Member, 0, len(list.Members))
 	for _, m := range list.Members {
 		b := l.backends[m.ID]
-		if b == nil {
+		fresh := b == nil
+		if fresh {
 			b = &backend{number: balance.BackendID(len(l.byNumber)), id: m.ID}
 			l.backends[m.ID] = b
 			l.byNumber = append(l.byNumber, b)
@@ -451,11 +457,17 @@
 		if b.to != to {
 			l.back.pool.drop(b.to)
 		}
+		if restarted := b.to.launched != to.launched; fresh || restarted {
+			b.start = l.startOf(to.launched)
+		}
 		b.to, b.phase, b.line = to, m.Phase, m.Line
 		line := m.Member
-		line.Backend = b.number
+		line.Backend, line.Launched = b.number, b.start
 		members = append(members, line)
 	}
+	if kind != balance.MembersRemembered {
+		l.listedAt = l.now()
+	}
 	l.handle(balance.Event{Kind: kind, Members: members})
 	l.changed()
 }
@@ -489,6 +501,7 @@
 	if now.Version <= l.cordons.Version {
 		return // it came late
 	}
+	l.placeCordons(now)
 	l.cordons = now
 	for id, b := range l.backends {
 		l.cordon(b, now.Backends[id])
@@ -503,9 +516,10 @@
 	}
 	l.log.Info("maintenance", "backend", b.id, "out", c.Out)
 	b.out, b.back = c.Out, c.Back
-	l.handle(balance.Event{Kind: balance.Cordoned, Backend: b.number, Out: true, At: time.Duration(c.Since)})
+	at := l.cordonTimes[b.id]
+	l.handle(balance.Event{Kind: balance.Cordoned, Backend: b.number, Out: true, At: at.since})
 	if !c.Out {
-		l.handle(balance.Event{Kind: balance.Cordoned, Backend: b.number, At: time.Duration(c.Back)})
+		l.handle(balance.Event{Kind: balance.Cordoned, Backend: b.number, At: at.back})
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"glencart/balance"
 	"glencart/internal/admin"
+	"glencart/internal/monotime"
 	"glencart/internal/settings"
 )
 
@@ -233,7 +234,7 @@
 	n.log.Info("leaving")
 	longest := longestDeadline(n.cfg.Settings)
 	if !n.front.handed.Load() {
-		n.front.until.Store(time.Now().Add(lameDuck + min(longest, killedAfter)).UnixNano())
+		n.front.until.Store(monotime.Now().Add(lameDuck + min(longest, killedAfter)))
 	}
 	n.front.leaving.Store(true)
 	time.Sleep(lameDuck)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"glencart/internal/monotime"
 )
 
 // endpoint is one process of a backend: the address, and when it started.
@@ -42,8 +44,8 @@
 	keep   time.Duration // how long one may stand idle
 	settle time.Duration // how long one rests at the least
 
-	dials atomic.Int64 // since the loop last counted them
-	wary  atomic.Int64 // Unix time, in nanoseconds, until which connections rest
+	dials atomic.Int64    // since the loop last counted them
+	wary  monotime.Atomic // until which connections rest
 
 	mu   sync.Mutex
 	most int                  // connections, idle or not
@@ -104,11 +106,11 @@
 }
 
 // beWary takes in that a backend has sent more than an answer.
-func (p *pool) beWary() { p.wary.Store(time.Now().Add(waryFor).UnixNano()) }
+func (p *pool) beWary() { p.wary.Store(monotime.Now().Add(waryFor)) }
 
 // rest is how long a connection rests now.
 func (p *pool) rest() time.Duration {
-	if time.Now().UnixNano() < p.wary.Load() {
+	if monotime.Now() < p.wary.Load() {
 		return p.settle
 	}
 	return 0
