Read a configuration again until it can be read, and heed SIGHUP to the end of a drain

Cause: reloadOn (cmd/glencart) took a file that can't be read for the end of the matter, and ran on the context that SIGTERM ends; signal.Stop at the end of run left a moment in which SIGHUP would have ended the process.

Change: a file that can't be read is read again after 50 ms, then twice as long each time up to a second, for a minute or until the next signal; reloads are heeded until the node has left.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"glencart/internal/node"
 )
@@ -26,8 +27,7 @@
 
 func run() error {
 	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP) // first of all: unheeded, it ends the program
-	defer signal.Stop(hup)
+	signal.Notify(hup, syscall.SIGHUP) // first of all, and to the very end: unheeded, it ends the program
 	path := os.Getenv("BALANCER_CONFIG")
 	cfg, err := node.LoadConfig(path)
 	if err != nil {
@@ -47,26 +47,48 @@
 	if err != nil {
 		return err
 	}
+	// A node that drains still sends what it has taken, so it goes on following where discovery moves until it has left.
+	reloading, stopReloading := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	defer func() { stop(); wg.Wait() }()
-	wg.Go(func() { reloadOn(ctx, hup, path, n, log) })
+	defer wg.Wait()
+	defer stopReloading()
+	wg.Go(func() { reloadOn(reloading, hup, path, n, log) })
 	return n.Run(ctx)
 }
 
+// Where a configuration cannot be read it is tried again for reloadFor, as it may be half written or the process short of
+// descriptors: nobody sends the signal twice. The wait doubles from reloadRetryLeast to reloadRetryMost.
+const (
+	reloadFor                         = time.Minute
+	reloadRetryLeast, reloadRetryMost = 50 * time.Millisecond, time.Second
+)
+
 // reloadOn reads the configuration again at each signal, until ctx ends. One that can't be read changes nothing.
 func reloadOn(ctx context.Context, hup <-chan os.Signal, path string, n *node.Node, log *slog.Logger) {
+	var retry <-chan time.Time // nil: nothing is to be read again
+	var wait time.Duration
+	var until time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
+			wait, until = reloadRetryLeast, time.Now().Add(reloadFor)
+		case <-retry:
 		}
+		retry = nil
 		cfg, err := node.LoadConfig(path)
-		if err != nil {
-			log.Error("configuration not replaced", "error", err)
+		if err == nil {
+			n.Reload(cfg)
+			continue
+		}
+		if time.Now().After(until) {
+			log.Error("configuration not replaced, given up: correct the file and send SIGHUP again", "error", err)
 			continue
 		}
-		n.Reload(cfg)
+		log.Error("configuration not replaced, reading it again soon", "error", err)
+		retry = time.After(wait)
+		wait = min(2*wait, reloadRetryMost)
 	}
 }
 
