Show that a disk that fails for a while takes a registry replica down

Need: where a folder lasts, writes and syncs may fail for a while, and what was taken on is still owed.

By reading, behind it: a follower that can't append answers raft's heartbeats, which need no write, so its last contact stays young and it would serve a list that no longer changes as fresh, without bound; and after a cut of its log's end followed by a failed append raft's idea of the last entry differs from the store's ('TODO' at raft.go 1541).

Only a seam for tests is new in the program (openWith).

--- /dev/null
+++ b/internal/registry/disk_test.go
@@ -0,0 +1,136 @@
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// flakyDisk fails a part of the writes of a replica's store, as a disk that is full or broken for a while.
+type flakyDisk struct {
+	oneIn  atomic.Int64 // 0: none fail
+	writes atomic.Int64
+}
+
+func (d *flakyDisk) wrap(s raftStore) raftStore { return &flakyStore{raftStore: s, disk: d} }
+
+func (d *flakyDisk) write(f func() error) error {
+	n := d.writes.Add(1)
+	if every := d.oneIn.Load(); every > 0 && n%every == 0 {
+		if n%2 == 0 {
+			return syscall.ENOSPC
+		}
+		return syscall.EIO
+	}
+	return f()
+}
+
+type flakyStore struct {
+	raftStore
+	disk *flakyDisk
+}
+
+func (s *flakyStore) StoreLog(l *raft.Log) error { return s.StoreLogs([]*raft.Log{l}) }
+func (s *flakyStore) StoreLogs(l []*raft.Log) error {
+	return s.disk.write(func() error { return s.raftStore.StoreLogs(l) })
+}
+func (s *flakyStore) DeleteRange(from, to uint64) error {
+	return s.disk.write(func() error { return s.raftStore.DeleteRange(from, to) })
+}
+func (s *flakyStore) Set(k, v []byte) error {
+	return s.disk.write(func() error { return s.raftStore.Set(k, v) })
+}
+func (s *flakyStore) SetUint64(k []byte, v uint64) error {
+	return s.disk.write(func() error { return s.raftStore.SetUint64(k, v) })
+}
+
+// writeMembers registers members at any replica that takes them, until as many have been acknowledged or the time is up.
+func (c *cluster) writeMembers(t *testing.T, prefix string, want int, within time.Duration) (acknowledged []string) {
+	t.Helper()
+	for try, end := 0, time.Now().Add(within); len(acknowledged) < want && time.Now().Before(end); try++ {
+		id := fmt.Sprintf("%s-%d", prefix, try)
+		body := fmt.Sprintf(`{"member":{"id":%q,"host_port":"127.0.0.1:9000","size":1}}`, id)
+		if code, _ := call(t, "POST", "http://"+c.http[try%len(c.http)]+"/registry/members", body); code == http.StatusOK {
+			acknowledged = append(acknowledged, id)
+		} else {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return acknowledged
+}
+
+// holds tells whether a replica serves a list that has all of these members.
+func (c *cluster) holds(t *testing.T, i int, ids []string) bool {
+	t.Helper()
+	code, text := call(t, "GET", "http://"+c.http[i]+"/registry/instances", "")
+	var l List
+	if code != http.StatusOK || json.Unmarshal([]byte(text), &l) != nil {
+		return false
+	}
+	have := map[string]bool{}
+	for _, m := range l.Members {
+		have[m.ID] = true
+	}
+	for _, id := range ids {
+		if !have[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// Replicas whose disks fail one write in a few stay up; what they acknowledge is there afterwards, on every one of them.
+func TestReplicasOutliveFailingDisks(t *testing.T) {
+	c := newCluster(t, 3)
+	c.leader(t)
+	for i := range 2 {
+		c.disks[i].oneIn.Store(int64(3 + i))
+	}
+	acknowledged := c.writeMembers(t, "failing", 20, 10*time.Second)
+	for _, d := range c.disks {
+		d.oneIn.Store(0)
+	}
+	acknowledged = append(acknowledged, c.writeMembers(t, "healed", 5, 10*time.Second)...)
+	if len(acknowledged) < 5 {
+		t.Errorf("%d writes acknowledged", len(acknowledged))
+	}
+	for i := range c.replicas {
+		await(t, "all that was acknowledged", func() bool { return c.holds(t, i, acknowledged) })
+	}
+}
+
+// A replica that can't write keeps out of the way: it never serves a list that it can't keep up to date, and says why; the
+// others go on, and it comes back by itself.
+func TestReplicaWithoutADiskServesNoStaleList(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(t)
+	await(t, "the first write", func() bool { return len(c.writeMembers(t, "before", 1, time.Second)) == 1 })
+	for name, i := range map[string]int{"follower": (lead + 1) % 3, "leader": lead} {
+		t.Run(name, func(t *testing.T) {
+			c.disks[i].oneIn.Store(1)
+			acknowledged := c.writeMembers(t, name, 10, 10*time.Second)
+			if len(acknowledged) < 10 {
+				t.Errorf("%d writes acknowledged", len(acknowledged))
+			}
+			await(t, "a refusal with its reason", func() bool {
+				code, text := call(t, "GET", "http://"+c.http[i]+"/registry/instances", "")
+				return code == http.StatusServiceUnavailable && strings.Contains(text, "registry.disk")
+			})
+			for range 20 {
+				if code, _ := call(t, "GET", "http://"+c.http[i]+"/registry/instances", ""); code == http.StatusOK && !c.holds(t, i, acknowledged) {
+					t.Fatal("a stale list was served")
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			c.disks[i].oneIn.Store(0)
+			await(t, "the list, once the disk works", func() bool { return c.holds(t, i, acknowledged) })
+		})
+	}
+}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -53,6 +53,7 @@
 	http     []string
 	stops    []func() // ends replica i's HTTP side and waits for it
 	ackEarly bool     // the planted bug, for every replica opened
+	disks    []*flakyDisk
 }
 
 func testConfig(id, dir string) Config {
@@ -104,7 +105,10 @@
 }
 
 func (c *cluster) open(i int, raftLn, httpLn net.Listener) {
-	r, err := Open(c.cfgs[i], raftLn, slog.New(slog.DiscardHandler))
+	if len(c.disks) <= i {
+		c.disks = append(c.disks, &flakyDisk{})
+	}
+	r, err := openWith(c.cfgs[i], raftLn, slog.New(slog.DiscardHandler), c.disks[i].wrap)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -139,7 +139,7 @@
 	log     *slog.Logger
 	raft    *raft.Raft
 	fsm     *fsm
-	store   *raftboltdb.BoltStore
+	store   raftStore
 	trans   *raft.NetworkTransport
 	metrics *metrics
 
@@ -169,13 +169,26 @@
 // folder with bootstrap set starts the cluster of the configured peers. Raft's transport takes over ln, which
 // listens at cfg.Raft.
 func Open(cfg Config, ln net.Listener, log *slog.Logger) (*Replica, error) {
+	return openWith(cfg, ln, log, func(s raftStore) raftStore { return s })
+}
+
+// raftStore is raft's log and stable store, in one file.
+type raftStore interface {
+	raft.LogStore
+	raft.StableStore
+	io.Closer
+}
+
+// openWith opens a replica on a store that wrap has had a hand in.
+func openWith(cfg Config, ln net.Listener, log *slog.Logger, wrap func(raftStore) raftStore) (*Replica, error) {
 	if err := os.MkdirAll(cfg.DataDir, 0o755); err != nil {
 		return nil, fmt.Errorf("data_dir: %w", err)
 	}
-	store, err := raftboltdb.NewBoltStore(filepath.Join(cfg.DataDir, "raft.db"))
+	file, err := raftboltdb.NewBoltStore(filepath.Join(cfg.DataDir, "raft.db"))
 	if err != nil {
 		return nil, fmt.Errorf("raft store: %w", err)
 	}
+	store := wrap(file)
 	sessions := fleet.NewSessions()
 	state := NewState(cfg.Ring, sessions)
 	turns := rota.New(listOf{state.members}, nodesOf{sessions})
