Keep a registry replica up while its disk fails, out of votes and leadership

Cause: raft takes an error of its stable store while it saves its term for the end of the process; Replica.fresh went by raft's last contact alone, which heartbeats keep young at a follower that can't append.

Change: diskStore stands between raft and its store. A replica whose last write failed is not fresh and answers 503 registry.disk with the error.

Ruled out: retrying every write, as a leader that stands still goes on sending heartbeats and nobody takes its place.

Not covered: a disk that fails reads.

--- a/internal/registry/disk_test.go
+++ b/internal/registry/disk_test.go
@@ -134,3 +134,20 @@
 		})
 	}
 }
+
+// A replica whose disk fails can be stopped all the same.
+func TestReplicaWithoutADiskStops(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(t)
+	i := (lead + 1) % 3
+	c.disks[i].oneIn.Store(1)
+	c.stop(lead) // an election at which the term can't be saved
+	await(t, "a failed write", func() bool { return c.replicas[i].store.failing() != nil })
+	stopped := make(chan struct{})
+	go func() { c.stop(i); close(stopped) }()
+	select {
+	case <-stopped:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the replica does not stop")
+	}
+}
--- a/internal/registry/errors.go
+++ b/internal/registry/errors.go
@@ -37,6 +37,9 @@
 		"the write may or may not be committed later", "read before writing again; see that a majority of replicas runs")
 	ErrNotFresh = problems.Define("registry.not-fresh", http.StatusServiceUnavailable,
 		"this replica has not heard from a leader lately", "ask another replica; see that this one reaches its peers")
+	ErrDisk = problems.Define("registry.disk", http.StatusServiceUnavailable,
+		"this replica can't write to its folder; a write that it was asked for may or may not be committed later",
+		"make room on the disk of data_dir, or replace the disk; the replica comes back by itself; ask another one meanwhile")
 	ErrBusy = problems.Define("registry.busy", http.StatusServiceUnavailable,
 		"too many calls at once", "ask again after Retry-After; raise max_calls or add replicas")
 )
--- a/internal/registry/fleet.go
+++ b/internal/registry/fleet.go
@@ -188,7 +188,7 @@
 // serveSession answers with the highest incarnation under a name, and its open session if there is one.
 func (r *Replica) serveSession(w http.ResponseWriter, req *http.Request) {
 	if !r.fresh() {
-		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
+		fail(w, r.whyNotFresh())
 		return
 	}
 	var out fleet.Held
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -134,7 +134,7 @@
 	q := req.URL.Query()
 	if !q.Has("after") {
 		if !r.fresh() {
-			fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
+			fail(w, r.whyNotFresh())
 			return
 		}
 		var l List
@@ -156,7 +156,7 @@
 	}
 	l, ok := r.watch(req.Context(), after, min(time.Duration(waitMs)*time.Millisecond, maxWait))
 	if !ok {
-		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
+		fail(w, r.whyNotFresh())
 		return
 	}
 	answer(w, l)
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -139,7 +139,7 @@
 	log     *slog.Logger
 	raft    *raft.Raft
 	fsm     *fsm
-	store   raftStore
+	store   *diskStore
 	trans   *raft.NetworkTransport
 	metrics *metrics
 
@@ -188,7 +188,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("raft store: %w", err)
 	}
-	store := wrap(file)
+	store := newDiskStore(wrap(file), log)
 	sessions := fleet.NewSessions()
 	state := NewState(cfg.Ring, sessions)
 	turns := rota.New(listOf{state.members}, nodesOf{sessions})
@@ -258,6 +258,7 @@
 func (r *Replica) Close() error {
 	r.stop()
 	r.wg.Wait()
+	r.store.stop()
 	err := r.raft.Shutdown().Error()
 	r.trans.Close()
 	return errors.Join(err, r.store.Close())
@@ -278,8 +279,11 @@
 }
 
 // fresh tells whether this replica may serve reads: it leads and has applied all that was committed before, or
-// it heard from the leader within StaleRead.
+// it heard from the leader within StaleRead. A follower that can't write hears heartbeats, which need no write, and no news.
 func (r *Replica) fresh() bool {
+	if r.store.failing() != nil {
+		return false
+	}
 	if r.Leader() {
 		return r.readyTerm.Load() == r.raft.CurrentTerm()
 	}
@@ -287,6 +291,14 @@
 	return !last.IsZero() && time.Since(last) <= r.cfg.StaleRead.Duration
 }
 
+// whyNotFresh is the error of a read that this replica may not serve.
+func (r *Replica) whyNotFresh() error {
+	if err := r.store.failing(); err != nil {
+		return ErrDisk.Of(r.cfg.ID, err)
+	}
+	return ErrNotFresh.Of(r.cfg.ID, nil)
+}
+
 // beating is a command that starts a TTL on the leader's clock, under a key of its own; "" for none.
 type beating interface{ beats() string }
 
@@ -319,6 +331,9 @@
 		return Result{}, nil
 	}
 	if err := f.Error(); err != nil {
+		if disk := r.store.failing(); disk != nil {
+			return Result{}, ErrDisk.Of(r.cfg.ID, disk)
+		}
 		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) {
 			return Result{}, ErrNotLeader.Of(r.cfg.ID, err)
 		}
--- a/internal/registry/rota.go
+++ b/internal/registry/rota.go
@@ -78,7 +78,7 @@
 // serveRota answers with the whole record, from the leader.
 func (r *Replica) serveRota(w http.ResponseWriter, req *http.Request) {
 	if !r.fresh() {
-		fail(w, ErrNotFresh.Of(r.cfg.ID, nil))
+		fail(w, r.whyNotFresh())
 		return
 	}
 	out := map[string]any{}
