Show that a failing socket for datagrams keeps a node busy without end

Need: a loop that goes on after an error has to be bounded. The test fails on this commit: peers.run reads again at once after any error but the end of the socket.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,12 +15,20 @@
 
 // peers exchanges datagrams with the other nodes.
 type peers struct {
-	conn  *net.UDPConn
+	conn  datagramConn
 	addrs []netip.AddrPort // by number
 	all   netip.AddrPort
 	out   chan datagram
 }
 
+// datagramConn is a socket for datagrams: net.UDPConn, or a test's.
+type datagramConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
 type datagram struct {
 	to      netip.AddrPort
 	payload []byte
--- /dev/null
+++ b/internal/node/peers_spin_test.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// brokenConn fails each read at once, as a socket does whose machine has no buffers left.
+type brokenConn struct {
+	reads  atomic.Int64
+	closed atomic.Bool
+}
+
+func (c *brokenConn) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	c.reads.Add(1)
+	if c.closed.Load() {
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+	return 0, netip.AddrPort{}, syscall.ENOBUFS
+}
+
+func (c *brokenConn) WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error) { return 0, syscall.ENOBUFS }
+
+func (c *brokenConn) LocalAddr() net.Addr { return &net.UDPAddr{} }
+
+func (c *brokenConn) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// A node whose socket for datagrams fails goes on trying, and leaves the processor to what it serves.
+func TestBrokenPeerSocketDoesNotSpin(t *testing.T) {
+	c := &brokenConn{}
+	p := &peers{conn: c, out: make(chan datagram, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		p.run(ctx, func(int, []byte) {})
+		close(ended)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	if n := c.reads.Load(); n > 1000 || n < 2 {
+		t.Errorf("%d reads in 300 ms", n)
+	}
+	cancel()
+	receive(t, "the end", ended)
+}
