Rest between reads of a failing socket for datagrams, and own its sender

Cause: peers.run went on at once after an error. Change: it rests 2 ms; the goroutine that sends is waited for.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
+	"time"
 
 	"glencart/balance"
 )
@@ -13,6 +15,9 @@
 // loop that follow one another at once can fill that.
 const datagramMost, peersLeast = 256, 64
 
+// peersRetry is how long reading rests after an error.
+const peersRetry = 2 * time.Millisecond
+
 // peers exchanges datagrams with the other nodes.
 type peers struct {
 	conn  datagramConn
@@ -81,20 +86,25 @@
 	}
 }
 
+// send sends what is told until ctx ends. A datagram that can't be sent is lost, as any may be.
+func (p *peers) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-p.out:
+			p.conn.WriteToUDPAddrPort(d.payload, d.to)
+		}
+	}
+}
+
 // run passes on what other nodes say until ctx ends. What is too long, or from nobody known, is ignored.
 func (p *peers) run(ctx context.Context, heard func(peer int, payload []byte)) {
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case d := <-p.out:
-				p.conn.WriteToUDPAddrPort(d.payload, d.to)
-			}
-		}
-	}()
+	var sender sync.WaitGroup
+	defer sender.Wait()
+	sender.Go(func() { p.send(ctx) })
 	number := make(map[netip.AddrPort]int, len(p.addrs))
 	for i, a := range p.addrs {
 		number[a] = i
@@ -106,7 +116,9 @@
 			return
 		}
 		if err != nil {
-			continue // what a peer's machine sent back for a datagram of ours
+			// What a peer's machine sent back for a datagram of ours, or a shortage that may last.
+			pause(ctx, peersRetry)
+			continue
 		}
 		i, ok := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if ok && n <= datagramMost {
--- a/internal/node/peers_spin_test.go
+++ b/internal/node/peers_spin_test.go
@@ -24,7 +24,9 @@
 	return 0, netip.AddrPort{}, syscall.ENOBUFS
 }
 
-func (c *brokenConn) WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error) { return 0, syscall.ENOBUFS }
+func (c *brokenConn) WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error) {
+	return 0, syscall.ENOBUFS
+}
 
 func (c *brokenConn) LocalAddr() net.Addr { return &net.UDPAddr{} }
 
