Show that a node gives up at its start on an address that is held for a moment

Need: system calls fail for a moment, and an error that ends a process has to be one that no later call could mend. A node that is started again while its old process is still being killed finds the address in use. The test fails on this commit, for the clients' address, the second one and that for datagrams.

--- /dev/null
+++ b/internal/node/start_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A node whose address is still held for a moment, by a process that is being killed, waits for it and starts.
+func TestStartsOnceItsAddressIsFree(t *testing.T) {
+	for _, what := range []string{"listen", "admin", "peer_listen"} {
+		t.Run(what, func(t *testing.T) {
+			text := listText(1, true, listed{"s", echo(t).Addr().String(), "ready", 0})
+			cfg := testConfig(t, newRegistry(t, text).addr, text)
+			cfg.StateDir = t.TempDir()
+			var held interface{ Close() error }
+			switch what {
+			case "peer_listen":
+				c := udp(t)
+				cfg.PeerListen, held = c.LocalAddr().String(), c
+			default:
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if held = l; what == "listen" {
+					cfg.Listen = l.Addr().String()
+				} else {
+					cfg.Admin = l.Addr().String()
+				}
+			}
+			time.AfterFunc(300*time.Millisecond, func() { held.Close() })
+			n, err := New(cfg, quiet())
+			if err != nil {
+				held.Close()
+				t.Fatalf("not started: %v", err)
+			}
+			s := running(t, n)
+			eventually(t, "readiness", s.loop.ready.Load)
+			if resp, _ := do(t, ask(t, s.url+"/api/x", "order")); resp.StatusCode != http.StatusOK {
+				t.Errorf("answered %d", resp.StatusCode)
+			}
+		})
+	}
+}
