Try again to open an address that is held or short for a moment, for five seconds

Cause: New returned the first error of listen. Change: accept.Open tries again every 20 ms for 5 s where the error is one that passes and is this machine's own (EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM, EINTR, EAGAIN), and logs the first; the node's three addresses and the registry's two use it. Any other error still ends the start at once.

--- a/cmd/hitchvale/registry.go
+++ b/cmd/hitchvale/registry.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"glencart/internal/accept"
 	"glencart/internal/registry"
 )
 
@@ -30,11 +31,16 @@
 			if err != nil {
 				return usage(err)
 			}
-			raftLn, err := net.Listen("tcp", cfg.ListenRaft())
+			listen := func(addr string) (net.Listener, error) {
+				return accept.Open(func() (net.Listener, error) { return net.Listen("tcp", addr) }, func(err error) {
+					log.Warn("an address can't be opened yet: trying again", "address", addr, "error", err)
+				})
+			}
+			raftLn, err := listen(cfg.ListenRaft())
 			if err != nil {
 				return failed(fmt.Errorf("raft: %w", err))
 			}
-			httpLn, err := net.Listen("tcp", cfg.HTTP)
+			httpLn, err := listen(cfg.HTTP)
 			if err != nil {
 				raftLn.Close()
 				return failed(fmt.Errorf("http: %w", err))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/accept"
 	"glencart/internal/admin"
 	"glencart/internal/monotime"
 	"glencart/internal/settings"
@@ -97,7 +98,8 @@
 	n.loop.askAbout = n.disco.ask
 	n.loop.askedOf = func() int64 { return n.disco.calls.Swap(0) }
 	if cfg.PeerListen != "" {
-		if n.peers, err = listenPeers(&cfg); err != nil {
+		n.peers, err = accept.Open(func() (*peers, error) { return listenPeers(&cfg) }, n.waitsFor(cfg.PeerListen))
+		if err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
 		n.loop.tellPeers = n.peers.tell
@@ -116,7 +118,9 @@
 func (n *Node) listen() (err error) {
 	if n.cfg.Admin != "" {
 		n.cordons = newCordonFile(n.cfg.StateDir, n.cfg.Name, n.log)
-		if n.admin, err = admin.Listen(n.cfg.Admin, told{n}, n.log); err != nil {
+		if n.admin, err = accept.Open(func() (*admin.Server, error) {
+			return admin.Listen(n.cfg.Admin, told{n}, n.log)
+		}, n.waitsFor(n.cfg.Admin)); err != nil {
 			return err
 		}
 	}
@@ -129,7 +133,9 @@
 	if n.handing != nil {
 		lc.Control = sharePort // with an old process that does not answer
 	}
-	l, err := lc.Listen(context.Background(), "tcp", n.cfg.Listen)
+	l, err := accept.Open(func() (net.Listener, error) {
+		return lc.Listen(context.Background(), "tcp", n.cfg.Listen)
+	}, n.waitsFor(n.cfg.Listen))
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -137,6 +143,13 @@
 	return nil
 }
 
+// waitsFor logs that the node waits until it can open an address.
+func (n *Node) waitsFor(addr string) func(error) {
+	return func(err error) {
+		n.log.Warn("an address can't be opened yet: trying again", "address", addr, "error", err)
+	}
+}
+
 // close ends a node that does not run.
 func (n *Node) close() {
 	if n.peers != nil {
