--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -359,3 +360,17 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// What this machine is short of says nothing of the backend that an attempt was for; a network that can't be reached does.
+func TestShortageIsNoFailureOfABackend(t *testing.T) {
+	b := echo(t)
+	for errno, want := range map[syscall.Errno]balance.Status{syscall.EADDRNOTAVAIL: balance.Unused, syscall.ENFILE: balance.Unused,
+		syscall.EMFILE: balance.Unused, syscall.ENOBUFS: balance.Unused, syscall.ENETUNREACH: balance.DialFailed,
+		syscall.EHOSTUNREACH: balance.DialFailed, syscall.ETIMEDOUT: balance.DialFailed} {
+		x := exchangesFor(t)
+		x.pool.dialer.Control = func(string, string, syscall.RawConn) error { return os.NewSyscallError("connect", errno) }
+		if r := try(t, x, endpoint{addr: b.Addr().String()}, get("id")); r.status != want {
+			t.Errorf("%v: status %v, want %v", errno, r.status, want)
+		}
+	}
+}
