Tell a shortage of this machine from a failure of the backend that was to be dialed

Cause: exchange took every error of a dial but the pool's own bound for dial_failed. Change: errors that accept.IsShortage names end as unused, like the pool's bound. A look at a socket that a signal interrupts is made again, eight times at most.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/accept"
 	"glencart/internal/lograte"
 	"glencart/internal/settings"
 )
@@ -123,6 +124,9 @@
 	switch {
 	case errors.Is(err, errNoRoom):
 		return result{status: balance.Unused} // says nothing of the backend
+	case accept.IsShortage(err):
+		x.failed(ctx, to, "this machine is short of what a connection needs", err)
+		return result{status: balance.Unused} // likewise
 	case err != nil:
 		x.failed(ctx, to, "no connection", err)
 		return result{status: balance.DialFailed}
--- a/internal/node/sight.go
+++ b/internal/node/sight.go
@@ -11,6 +11,9 @@
 	peerLeft // it has closed its side or reset the connection, or this side has
 )
 
+// looksMost is how often a look that a signal interrupts is made. One that always is shows nothing.
+const looksMost = 8
+
 // lookAt tells what has come on a connection and was not read, and reads none of it.
 func lookAt(c syscall.Conn) sight {
 	raw, err := c.SyscallConn()
@@ -21,7 +24,11 @@
 	// Control and not Read, as somebody may be reading at the same time.
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
+		n, err := 0, error(syscall.EINTR)
+		for looks := 0; err == syscall.EINTR && looks < looksMost; looks++ {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
+		switch {
 		case n > 0:
 			seen = bytesWait
 		case err != syscall.EAGAIN && err != syscall.EINTR:
