Add a shim under which real processes meet failing system calls and a stepped clock

Package shim traces its own child (ptrace with clones followed, no rights needed): by a plan drawn elsewhere it fails accept, socket, connect, open, writes and syncs of files and reads of dialed connections, interrupts waits, cuts transfers short and steps the wall clock alone (the program is started without a vDSO, so it reads its clocks by system call).

Result: tests run a program under each kind; futex is interrupted in waits alone, as a wake that fails ends the runtime.

--- /dev/null
+++ b/internal/shim/shim_test.go
@@ -0,0 +1,147 @@
+//go:build linux && amd64
+
+package shim
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain also is the shim and the program that a test runs under it.
+func TestMain(m *testing.M) {
+	switch os.Getenv("SHIM_TEST") {
+	case "shim":
+		plan, err := ParsePlan(os.Getenv("SHIM_PLAN"))
+		if err == nil {
+			os.Setenv("SHIM_TEST", "program")
+			var code int
+			if code, err = Run(plan, 1, os.Args); err == nil {
+				os.Exit(code)
+			}
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(99)
+	case "program":
+		program()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program tells what befalls it.
+func program() {
+	fails := map[string]int{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println("listen", err)
+		return
+	}
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Write(body)
+	}))
+	before, began := time.Now().Round(0), time.Now()
+	for time.Since(began) < 1500*time.Millisecond {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			fails["dial"]++
+		} else {
+			c.Close()
+		}
+		f, err := os.Open("/dev/null")
+		if err != nil {
+			fails["open"]++
+		} else {
+			f.Close()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	fmt.Println("dial", fails["dial"], "open", fails["open"])
+	fmt.Println("stepped", time.Now().Round(0).Sub(before).Round(time.Minute), "spent", time.Since(began) < 10*time.Second)
+	resp, err := http.Post("http://"+l.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("x", 100_000)))
+	if err != nil {
+		fmt.Println("post", err)
+		return
+	}
+	text, err := io.ReadAll(resp.Body)
+	fmt.Println("echoed", len(text), err)
+	os.Exit(7)
+}
+
+// run runs the program under a plan and returns what it printed.
+func run(t *testing.T, plan Plan) string {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "SHIM_TEST=shim", "SHIM_PLAN="+plan.String())
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != 7 {
+		t.Fatalf("ended with %v: %s", err, out.String())
+	}
+	return out.String()
+}
+
+// Calls fail as the plan says and while it lasts, the wall clock alone is stepped, and what is cut short arrives whole.
+func TestCallsFailAsPlanned(t *testing.T) {
+	const all = time.Minute
+	for name, tc := range map[string]struct {
+		plan Plan
+		want []string
+	}{
+		"nothing":   {nil, []string{"dial 0 open 0\n", "stepped 0s spent true", "echoed 100000 <nil>"}},
+		"clock":     {Plan{{Kind: Clock, From: 500 * time.Millisecond, Step: -time.Hour}}, []string{"stepped -1h0m0s spent true"}},
+		"short":     {Plan{{Kind: Short, For: all, Share: 0.5}}, []string{"echoed 100000 <nil>"}},
+		"interrupt": {Plan{{Kind: Interrupt, For: all, Share: 0.2}}, []string{"dial 0 open 0\n", "echoed 100000 <nil>"}},
+		"windows":   {Plan{{Kind: Open, From: time.Hour, For: all, Share: 1}}, []string{"open 0\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := run(t, tc.plan)
+			for _, want := range tc.want {
+				if !strings.Contains(out, want) {
+					t.Errorf("no %q in %q", want, out)
+				}
+			}
+		})
+	}
+	const quiet, lasts = 400 * time.Millisecond, 800 * time.Millisecond // the program has to be loaded first
+	out := run(t, Plan{{Kind: Connect, From: quiet, For: lasts, Share: 0.5}, {Kind: Open, From: quiet, For: lasts, Share: 0.5}})
+	var dial, open int
+	if _, err := fmt.Sscanf(out, "dial %d open %d", &dial, &open); err != nil || dial == 0 || open == 0 {
+		t.Errorf("%s: dial %s, open %s: %v", out, strconv.Itoa(dial), strconv.Itoa(open), err)
+	}
+}
+
+// A signal to the group reaches the program, and it ends with its shim.
+func TestProgramEndsWithItsShim(t *testing.T) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "SHIM_TEST=shim", "SHIM_PLAN=[]")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	cmd.Process.Kill()
+	ended := make(chan struct{})
+	go func() { io.Copy(io.Discard, out); close(ended) }()
+	select {
+	case <-ended: // the program had the other end of the pipe
+	case <-time.After(10 * time.Second):
+		t.Error("the program lives on")
+	}
+	cmd.Wait()
+}
--- /dev/null
+++ b/internal/shim/tracer_other.go
@@ -0,0 +1,10 @@
+//go:build !(linux && amd64)
+
+package shim
+
+import "errors"
+
+// Run is not to be had on this machine.
+func Run(Plan, uint64, []string) (int, error) {
+	return 0, errors.New("shim: system calls can be made to fail on linux/amd64 only")
+}
