Show that places left by failed attempts keep servers idle while reports stay out

So the node refuses while servers idle. Each attempt that did not come back served adds a place, those that clients ended or that were never sent too, and only a report takes places off: probes are paid for by arrivals, 7 to 35 in 5 s for 12 servers, and some of them are lost as well. Ruled out: base and pace that learn the late connects (0.051 s and 0.03 to 0.05 s, steady), the part of the slack (0.32 to 0.35, not at its least), servers that hang (silence 0 at most of them).

--- a/balance/signs_test.go
+++ b/balance/signs_test.go
@@ -167,3 +167,31 @@
 		t.Errorf("the time of an answer went from %.3f to %.3f s in three seconds of 0.120 s", was, s.time)
 	}
 }
+
+// What was not accepted counts as standing at its server until a report, or until it has faded where none comes: where probes
+// are few and some are lost, a place that nobody holds would keep the server idle for good. An attempt that its client or the
+// node itself ended tells nothing of the server, and leaves no place behind.
+func TestPlacesOfFailedAttemptsFade(t *testing.T) {
+	for status, left := range map[Status]float64{DialFailed: 1, Dropped: 1, AppError: 1, Shed: 1, Expired: 1, Revoked: 0, Unused: 0} {
+		cfg := site()
+		r := newRig(t, cfg, member(1, 0, 0))
+		r.serve(50, safe, steady)
+		s := r.b.servers[1]
+		s.stuck = 0
+		r.arrive("x", unsafe)
+		if s.stuck = 0; s.out != 1 {
+			t.Fatalf("%d: %v out", status, s.out)
+		}
+		r.outcome("x", 0, 1, status)
+		if s.stuck != left {
+			t.Errorf("status %d leaves %v places, want %v", status, s.stuck, left)
+		}
+		for range 4 {
+			r.wait(max(cfg.Rules.OverloadFor, time.Second))
+			r.do(Event{Kind: MembersChanged})
+		}
+		if s.stuck > 0.1 {
+			t.Errorf("status %d: %v places are left after four windows without a report", status, s.stuck)
+		}
+	}
+}
