Let places left by failed attempts fade, and leave none for what a client or node ended

Cause: onOutcome added a place for each attempt that was not served, and rollRates took them off only where probing is not allowed at all. Change: they fade by 0.6 in each window whether or not probes are allowed, and attempts that were revoked or never sent add none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,6 +48,10 @@
 	shareSpan, shareLeast = 1.0, 4.0
 	// valueWeight is the weight of a request in the mean worth, leanMost the most that the bound leans.
 	valueWeight, leanMost = 0.01, 2.0
+	// stuckFade is the part of the places left by failed attempts that fades with each window. A queue turns
+	// over several times in a window, so an old place tells nothing; the rate of failures, which fades more
+	// slowly, goes on telling that the server fails.
+	stuckFade = 0.6
 	// failsHigh and failsLow are the rates of failures that the log tells: above a single one, and none. A
 	// silence is charged beyond silentQueues times what the queue should take.
 	failsHigh, failsLow, silentQueues = 0.11, 0.02, 2
@@ -530,8 +534,8 @@
 		a.to.out--
 	}
 	r.spoilt = r.spoilt || ev.Spoilt
-	if ev.Status != Delivered {
-		// Not accepted: it keeps its increment until a report, against a server that
+	if ev.Status != Delivered && ev.Status != Revoked && ev.Status != Unused {
+		// Not accepted: it keeps its increment until a report, or until that fades, against a server that
 		// fails fast and so looks idle.
 		a.to.stuck++
 	}
@@ -895,9 +899,7 @@
 	for _, s := range b.ready {
 		b.grantCold(s)
 		s.fails -= failFade * s.fails
-		if !b.cfg.Limits.Probing {
-			s.stuck -= failFade * s.stuck // no report will clear it
-		}
+		s.stuck -= stuckFade * s.stuck // a report may be long in coming, or never come
 		if s.heard < b.rolledAt && s.time > 0 {
 			// A server that looked slow gets no traffic, so nothing would ever clear its name.
 			s.time += forget * (b.peerPace*(s.depth+1) - s.time)
