Refuse an output folder of the lab that holds another run

Cause: newCluster took any folder. Change: one that is not empty is refused, by an error that says what to do.

--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -41,8 +41,8 @@
 }
 
 func newCluster(opts Options, seed uint64) (*cluster, error) {
-	if err := os.MkdirAll(opts.Out, 0o755); err != nil {
-		return nil, fmt.Errorf("output: %w", err)
+	if err := claimOutput(opts.Out); err != nil {
+		return nil, err
 	}
 	space, err := claimAddresses()
 	if err != nil {
@@ -56,6 +56,22 @@
 	return c, nil
 }
 
+// claimOutput makes the folder of a run. One that holds anything is refused: the run's children append to their logs, and
+// a verdict must not come from another run's.
+func claimOutput(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("output: %w", err)
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return fmt.Errorf("output: %w", err)
+	}
+	if len(entries) > 0 {
+		return fmt.Errorf("output: %s holds %s of another run, name an empty folder: %w", dir, entries[0].Name(), os.ErrExist)
+	}
+	return nil
+}
+
 // close ends every child and every proxy.
 func (l *cluster) close() {
 	l.timers.Wait()
