Guard sending and closing in one place, count what breaks a rule, tell why things end

Where logs and metrics could not answer: which request an attempt failed for, why a request was refused, why the node closed a connection, how many retries there were.

Change: guard (internal/node/guard.go) is asked before each attempt, apart from the Balancer, refuses what would break a rule and counts it; attempts are checked by when their first byte went, and a connection that this side ends under a request is counted. glencart_invariant_violations_total, glencart_connections_closed_total and glencart_retries_total on the second address; request ids and reasons in two log lines, at most once a second each.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -21,6 +21,7 @@
 	"glencart/balance"
 	"glencart/internal/accept"
 	"glencart/internal/lograte"
+	"glencart/internal/monotime"
 	"glencart/internal/settings"
 )
 
@@ -87,6 +88,7 @@
 	cancel context.CancelFunc
 	begin  time.Time // the latest at which its first byte may go; zero: any
 	state  atomic.Int32
+	began  monotime.Atomic // when its first byte was about to go; zero: it never was
 }
 
 // States of a call: its first byte has not been written, or it may have been, or it never will be.
@@ -125,10 +127,10 @@
 	case errors.Is(err, errNoRoom):
 		return result{status: balance.Unused} // says nothing of the backend
 	case accept.IsShortage(err):
-		x.failed(ctx, to, "this machine is short of what a connection needs", err)
+		x.failed(ctx, m, to, "this machine is short of what a connection needs", err)
 		return result{status: balance.Unused} // likewise
 	case err != nil:
-		x.failed(ctx, to, "no connection", err)
+		x.failed(ctx, m, to, "no connection", err)
 		return result{status: balance.DialFailed}
 	}
 	late := !c.begin.IsZero() && !time.Now().Before(c.begin)
@@ -136,6 +138,7 @@
 		x.pool.discard(cn)
 		return result{status: balance.Unused}
 	}
+	c.began.Store(monotime.Now())
 	// Given up means closed, at once: nothing that comes later can reach anyone.
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
@@ -147,7 +150,7 @@
 	text := net.Buffers{head, m.body}
 	if n, err := text.WriteTo(cn.Conn); err != nil {
 		x.pool.discard(cn)
-		x.failed(ctx, to, "not written", err)
+		x.failed(ctx, m, to, "not written", err)
 		if n < int64(len(head)+len(m.body)) {
 			return result{status: balance.DialFailed} // the last byte never left
 		}
@@ -159,7 +162,7 @@
 	r, err := x.receive(cn, m, stop)
 	if err != nil {
 		x.pool.discard(cn)
-		x.failed(ctx, to, "no whole answer", err)
+		x.failed(ctx, m, to, "no whole answer", err)
 		return result{status: x.broken(ctx, err)}
 	}
 	return r
@@ -170,7 +173,7 @@
 	cn.SetWriteDeadline(time.Now().Add(takeWithin))
 	if _, err := cn.Write(m.head(cn.to.addr, m.left)); err != nil {
 		x.pool.discard(cn)
-		x.failed(ctx, cn.to, "not written", err)
+		x.failed(ctx, m, cn.to, "not written", err)
 		return result{status: balance.DialFailed, spoilt: m.open.touched()}
 	}
 	type end struct{ wrote, whole bool }
@@ -200,7 +203,7 @@
 		} else if len(sent) > 0 && !(<-sent).wrote {
 			status = balance.Unused // its client did not send it
 		}
-		x.failed(ctx, cn.to, "no whole answer to a streamed request", err)
+		x.failed(ctx, m, cn.to, "no whole answer to a streamed request", err)
 		return result{status: status, spoilt: true}
 	}
 	r.spoilt = true
@@ -301,9 +304,9 @@
 
 // failed logs, at a bounded rate, why an attempt got no whole answer; of one that was cancelled there is nothing
 // to tell.
-func (x *exchanges) failed(ctx context.Context, to endpoint, what string, err error) {
+func (x *exchanges) failed(ctx context.Context, m *message, to endpoint, what string, err error) {
 	if !errors.Is(ctx.Err(), context.Canceled) {
-		x.failing.Warn("attempt failed: "+what, "backend", to.addr, "error", err)
+		x.failing.Warn("attempt failed: "+what, "request", m.header.Get("X-Trace-Id"), "backend", to.addr, "error", err)
 	}
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -63,6 +63,7 @@
 	large    bool            // bodies of any length are streamed, and connections kept in a crowd
 	kept     *budget         // of requests kept whole
 	fleet    *fleetPart      // nil: none
+	closes   *closeCounts
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
@@ -73,7 +74,7 @@
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
 	return &front{loop: l, figures: l.figures, kept: newBudget(0), names: names, log: log,
-		complain: &lograte.Limited{Log: log}, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+		complain: &lograte.Limited{Log: log}, closes: &l.figures.closes, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]time.Time{}, heads: map[net.Conn]bool{}}
 }
 
@@ -138,6 +139,7 @@
 		f.conns[oldest] = time.Time{}
 		delete(f.heads, oldest)
 		if endBetween(oldest, true) {
+			f.closes.add(closedForRoom)
 			return true
 		}
 	}
@@ -169,12 +171,13 @@
 }
 
 // endIdle ends connections that have brought their requests and have been idle for so long.
-func (f *front) endIdle(least time.Duration) {
+func (f *front) endIdle(least time.Duration, reason closeReason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, at := range f.conns {
 		if !at.IsZero() && time.Since(at) >= least && endBetween(c, false) {
 			f.conns[c] = time.Time{}
+			f.closes.add(reason)
 		}
 	}
 }
@@ -195,7 +198,7 @@
 // part of a request on it. Connections on which nothing has ever come do not hold it up for longer than stillFor.
 func (f *front) drain(ctx context.Context) {
 	for still := time.Duration(0); f.held() > 0 && ctx.Err() == nil; still += lookEvery {
-		f.endIdle(0)
+		f.endIdle(0, closedInDrain)
 		if f.handed.Load() || f.busy() > 0 {
 			still = 0 // where another process serves nobody new comes here, and who has connected may yet ask
 		}
@@ -211,7 +214,9 @@
 	for {
 		f.mu.Lock()
 		for c := range f.conns {
-			endBetween(c, true)
+			if endBetween(c, true) {
+				f.closes.add(closedAtEnd)
+			}
 		}
 		f.mu.Unlock()
 		if f.busy() == 0 || ctx.Err() != nil {
@@ -392,6 +397,9 @@
 		}
 		end = a.kind
 	case <-hr.Context().Done():
+		if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok && c.endedHere() {
+			f.loop.guard.violated(ruleAnswer, r.id, "trouble", "connection ended under it")
+		}
 		f.loop.post(func() { f.loop.gone(r) })
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -112,10 +112,10 @@
 func TestCrossingRequestIsServedOnceOrNotAtAll(t *testing.T) {
 	const text = "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
 	enders := map[string]func(f *front){
-		"ended as idle":     func(f *front) { f.endIdle(0) },
+		"ended as idle":     func(f *front) { f.endIdle(0, closedInDrain) },
 		"gives way":         func(f *front) { f.giveWay() },
 		"the server's end":  nil,
-		"ended in the read": func(f *front) { f.endIdle(0) },
+		"ended in the read": func(f *front) { f.endIdle(0, closedInDrain) },
 	}
 	for name, end := range enders {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -19,6 +19,8 @@
 	members  atomic.Int64
 	avoided  atomic.Int64
 	attempts [balance.Unused + 1]atomic.Int64 // by status
+	retries  atomic.Int64
+	closes   closeCounts
 }
 
 // ends are the ways in which requests of a class end. Each request ends in one of them.
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -258,6 +258,13 @@
 	c.mu.Unlock()
 }
 
+// endedHere tells whether this side has closed the connection.
+func (c *framedConn) endedHere() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // take returns the head of the request that the handler serves now. Without one the server has found a request
 // where none began.
 func (c *framedConn) take() head {
--- /dev/null
+++ b/internal/node/guard.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/lograte"
+)
+
+// rule is a rule that the node keeps whatever the Balancer decides and in whatever order events come.
+type rule uint8
+
+// The rules, in the order of ruleNames.
+const (
+	// ruleRecipient: nothing begins to go to a backend that has taken nothing new for longer than the grace.
+	ruleRecipient rule = iota
+	// ruleOwner: nothing begins to go for a request whose client has gone for longer than goneGrace.
+	ruleOwner
+	// ruleEffect: no effect happens twice. An unsafe request is not sent again once an attempt may have run, and a keyed one
+	// not after its window.
+	ruleEffect
+	// ruleAttempts: a request is sent no more often than the settings allow.
+	ruleAttempts
+	// ruleAnswer: the node ends no connection under a request that it has read.
+	ruleAnswer
+	ruleCount
+)
+
+var ruleNames = [ruleCount]string{"recipient", "owner", "effect", "attempts", "answer"}
+
+// goneGrace is how long after its client has gone an attempt may still begin.
+const goneGrace = 100 * time.Millisecond
+
+// guard holds the rules on sending and closing in one place, apart from the decisions, and counts what breaks them. An
+// attempt that would break one is not made; a count above zero is a fault of the program.
+type guard struct {
+	classes  []balance.Class
+	grace    time.Duration // of a drain
+	attempts int           // of a request, by the settings; 0: not told
+	broken   [ruleCount]atomic.Int64
+	complain *lograte.Limited
+}
+
+func newGuard(cfg balance.Config, log *slog.Logger) *guard {
+	return &guard{classes: cfg.Classes, grace: cfg.Rules.DrainGrace, attempts: max(cfg.Limits.MaxAttempts, 1), complain: &lograte.Limited{Log: log}}
+}
+
+// violated counts and logs a broken rule.
+func (g *guard) violated(r rule, request string, args ...any) {
+	g.broken[r].Add(1)
+	g.complain.Warn("invariant violated", append([]any{"rule", ruleNames[r], "request", request}, args...)...)
+}
+
+// maySend tells whether another attempt for a request may go to a backend. What the Balancer can't know yet, such as a drain
+// that it is being told of, is refused and breaks nothing.
+func (g *guard) maySend(r *request, to *backend, now time.Duration) bool {
+	switch {
+	case !to.takes() || r.answered:
+		return false
+	case len(r.attempts) >= g.attempts:
+		g.violated(ruleAttempts, r.id, "attempts", len(r.attempts))
+		return false
+	case g.mayDouble(r, now):
+		g.violated(ruleEffect, r.id, "class", r.class, "attempts", len(r.attempts))
+		return false
+	}
+	return true
+}
+
+// mayDouble tells whether an effect could happen twice if a request were sent once more.
+func (g *guard) mayDouble(r *request, now time.Duration) bool {
+	if r.class >= len(g.classes) || g.classes[r.class].Effect == balance.Safe {
+		return false
+	}
+	for _, at := range r.attempts {
+		if at.over && at.status.NeverRan() {
+			continue
+		}
+		if c := &g.classes[r.class]; c.Effect == balance.Unsafe || now >= at.sent+c.Window {
+			return true
+		}
+	}
+	return false
+}
+
+// began checks, on the loop, an attempt that began to go at a time: what it was sent for still stood then.
+func (g *guard) began(r *request, at *attempt, begin time.Duration) {
+	if stopped := at.to.stoppedAt; stopped > 0 && begin > stopped+g.grace {
+		g.violated(ruleRecipient, r.id, "backend", at.to.id, "after", begin-stopped)
+	}
+	if r.goneAt > 0 && begin > r.goneAt+goneGrace {
+		g.violated(ruleOwner, r.id, "backend", at.to.id, "after", begin-r.goneAt)
+	}
+}
--- /dev/null
+++ b/internal/node/guard_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"glencart/balance"
+)
+
+// The guard refuses what would break a rule, whatever has been decided, and counts it; what a decision could not know is
+// refused and counts for nothing.
+func TestGuardRefusesWhatWouldBreakARule(t *testing.T) {
+	const unsafe, keyed, safe = 0, 1, 2
+	cfg := balance.Config{Limits: balance.Limits{MaxAttempts: 3}, Classes: []balance.Class{
+		{Effect: balance.Unsafe}, {Effect: balance.Keyed, Window: time.Second}, {Effect: balance.Safe}}}
+	over := func(st balance.Status) *attempt { return &attempt{over: true, status: st, sent: time.Second} }
+	ready, draining := &backend{phase: balance.Ready}, &backend{phase: balance.Draining}
+	for name, tc := range map[string]struct {
+		r      *request
+		to     *backend
+		now    time.Duration
+		may    bool
+		broken rule // ruleCount: none
+	}{
+		"first":                      {&request{class: unsafe}, ready, 0, true, ruleCount},
+		"to one that drains":         {&request{class: safe}, draining, 0, false, ruleCount},
+		"answered":                   {&request{class: safe, answered: true}, ready, 0, false, ruleCount},
+		"unsafe, may have run":       {&request{class: unsafe, attempts: []*attempt{over(balance.Dropped)}}, ready, 0, false, ruleEffect},
+		"unsafe, still out":          {&request{class: unsafe, attempts: []*attempt{{}}}, ready, 0, false, ruleEffect},
+		"unsafe, never ran":          {&request{class: unsafe, attempts: []*attempt{over(balance.DialFailed)}}, ready, 0, true, ruleCount},
+		"keyed, within its window":   {&request{class: keyed, attempts: []*attempt{over(balance.Expired)}}, ready, 1900 * time.Millisecond, true, ruleCount},
+		"keyed, after its window":    {&request{class: keyed, attempts: []*attempt{over(balance.Expired)}}, ready, 2 * time.Second, false, ruleEffect},
+		"safe, may have run":         {&request{class: safe, attempts: []*attempt{over(balance.Dropped)}}, ready, time.Hour, true, ruleCount},
+		"more often than is allowed": {&request{class: safe, attempts: []*attempt{over(balance.Shed), over(balance.Shed), over(balance.Shed)}}, ready, 0, false, ruleAttempts},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGuard(cfg, quiet())
+			if may := g.maySend(tc.r, tc.to, tc.now); may != tc.may {
+				t.Errorf("may be sent: %v", may)
+			}
+			for r := range ruleCount {
+				if n := g.broken[r].Load(); (n > 0) != (r == tc.broken) {
+					t.Errorf("%s: %d violations", ruleNames[r], n)
+				}
+			}
+		})
+	}
+}
+
+// An attempt that began late, after its client had gone or its backend had stopped taking, is counted.
+func TestGuardCountsWhatBeganTooLate(t *testing.T) {
+	g := newGuard(balance.Config{Rules: balance.Rules{DrainGrace: 500 * time.Millisecond}}, quiet())
+	stopped := &attempt{to: &backend{stoppedAt: time.Second}}
+	g.began(&request{goneAt: time.Second}, stopped, time.Second+goneGrace)
+	g.began(&request{}, stopped, 0)
+	if g.broken[ruleOwner].Load()+g.broken[ruleRecipient].Load() > 0 {
+		t.Error("what began in time counts")
+	}
+	g.began(&request{goneAt: time.Second}, stopped, 2*time.Second)
+	if g.broken[ruleOwner].Load() != 1 || g.broken[ruleRecipient].Load() != 1 {
+		t.Error("what began late does not count")
+	}
+}
+
+// A connection that this side ends under a request that it has read is counted.
+func TestGuardCountsAConnectionEndedUnderARequest(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 1)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+		held <- struct{}{}
+		<-hold
+		return ok200("late")
+	}))
+	defer close(hold)
+	n := startOn(t, b.Addr().String())
+	eventually(t, "readiness", n.loop.ready.Load)
+	go func() {
+		if resp, err := (&http.Transport{}).RoundTrip(ask(t, n.url+"/api/x", "order")); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	receive(t, "the request at the backend", held)
+	n.front.mu.Lock()
+	for c := range n.front.conns {
+		c.Close() // the planted fault
+	}
+	n.front.mu.Unlock()
+	eventually(t, "the violation", func() bool { return n.loop.guard.broken[ruleAnswer].Load() == 1 })
+}
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -369,7 +369,7 @@
 	told, open, busyAt := holds{Clients: -1}, n.backends, time.Now()
 	for {
 		// What begins here now may not end in time. Who asks on a kept connection as it is closed asks again.
-		n.front.endIdle(idleLeast)
+		n.front.endIdle(idleLeast, closedForHandOver)
 		n.front.shed(n.clients / 4)
 		inUse, idle := n.pool.held()
 		// Never more than before: the new process uses what this one has told that it left.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/lograte"
+	"glencart/internal/monotime"
 )
 
 // loop owns the Balancer, the tables of requests and backends, and the timers. Everything else posts to it, and
@@ -43,11 +45,13 @@
 	busy    bool
 	actions []balance.Action
 
-	counts  counts
-	figures *figures
-	shownAt time.Duration // when what only the loop knows was last published
-	ready   atomic.Bool   // some backend may be sent to
-	untold  bool          // lists are pushed, and this process has not read the agent's yet
+	counts   counts
+	guard    *guard
+	unserved *lograte.Limited
+	figures  *figures
+	shownAt  time.Duration // when what only the loop knows was last published
+	ready    atomic.Bool   // some backend may be sent to
+	untold   bool          // lists are pushed, and this process has not read the agent's yet
 }
 
 // backend is a backend that discovery has named since the start of the node.
@@ -59,7 +63,9 @@
 	out    bool          // taken out by hand
 	back   int64         // when it was put back last, as the record has it
 	start  time.Duration // when its process started, on the loop's clock
-	line   json.RawMessage
+	// stoppedAt is when it last stopped taking anything new; 0: it takes.
+	stoppedAt time.Duration
+	line      json.RawMessage
 }
 
 // takes tells whether a backend may be sent anything new.
@@ -82,6 +88,15 @@
 	attempts []*attempt
 	pending  int
 	answered bool
+	goneAt   time.Duration // when its client was heard to have gone; 0: it has not
+}
+
+// lastStatus names how the last attempt ended; "" where there was none, or it is still out.
+func (r *request) lastStatus() string {
+	if n := len(r.attempts); n > 0 && r.attempts[n-1].over {
+		return statusNames[r.attempts[n-1].status]
+	}
+	return ""
 }
 
 // attempt is one copy of a request on its way to a backend.
@@ -90,6 +105,8 @@
 	to   *backend
 	sent time.Duration
 	over bool // its outcome has been told
+	// status is how it ended, where it is over.
+	status balance.Status
 }
 
 // answerKind is the kind of a final answer.
@@ -121,7 +138,7 @@
 func newLoop(bal *balance.Balancer, back *exchanges, figures *figures, log *slog.Logger) *loop {
 	start := time.Now()
 	return &loop{
-		bal: bal, back: back, figures: figures, log: log,
+		bal: bal, back: back, figures: figures, log: log, guard: newGuard(balance.Config{}, log), unserved: &lograte.Limited{Log: log},
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		start: start, origin: wallClock(),
 		askAbout:  func(balance.ActionKind) {},
@@ -260,7 +277,7 @@
 	if l.requests[r.id] != r || r.answered {
 		return
 	}
-	r.answered = true
+	r.answered, r.goneAt = true, l.now()
 	l.counts.gone++
 	l.handle(balance.Event{Kind: balance.ClientGone, Request: r.id})
 	l.endAttempts(r, balance.Revoked)
@@ -272,11 +289,12 @@
 		return
 	}
 	n := len(r.attempts)
+	may := l.guard.maySend(r, b, l.now())
 	l.counts.sent++
 	at := &attempt{to: b, sent: l.now()}
 	r.attempts = append(r.attempts, at)
 	r.pending++
-	if !b.takes() || r.answered {
+	if !may {
 		l.outcome(r, n, result{status: balance.Unused})
 		return
 	}
@@ -290,6 +308,9 @@
 	if a.Within > 0 {
 		begin = time.Now().Add(a.Within)
 	}
+	if n > 0 {
+		l.figures.retries.Add(1)
+	}
 	at.call = l.back.attempt(b.to, &r.message, begin, deadline, func(res result) {
 		if !l.post(func() { l.outcome(r, n, res) }) && res.stream != nil {
 			res.stream.end(false)
@@ -322,7 +343,8 @@
 			return
 		}
 	}
-	at.over = true
+	at.over, at.status = true, res.status
+	l.guard.began(r, at, l.beganAt(at))
 	r.pending--
 	l.counts.outcomes[res.status]++
 	l.figures.attempts[res.status].Add(1)
@@ -344,6 +366,18 @@
 	})
 }
 
+// beganAt is when the first byte of an attempt was about to go, on the loop's clock; 0: it never was.
+func (l *loop) beganAt(at *attempt) time.Duration {
+	if at.call == nil {
+		return 0
+	}
+	began := at.call.began.Load()
+	if began.IsZero() {
+		return 0
+	}
+	return l.now() - time.Duration(monotime.Now()-began)
+}
+
 // follow counts an answer as open at its backend until all of it has been passed on.
 func (l *loop) follow(id string, s *stream) {
 	l.streams[id]++
@@ -380,6 +414,8 @@
 	if a.late {
 		l.counts.late++
 	}
+	l.unserved.Warn("request not served", "request", r.id, "class", r.class, "refused", a.kind == refused, "late", a.late,
+		"attempts", len(r.attempts), "last", r.lastStatus(), "retry_in", a.retryIn)
 	r.reply <- a
 	st := balance.Revoked
 	if a.late {
@@ -476,11 +512,14 @@
 func (l *loop) changed() {
 	ready := false
 	for _, b := range l.backends {
-		if b.takes() {
-			ready = true
-		} else {
-			l.back.pool.drop(b.to)
+		switch {
+		case b.takes():
+			ready, b.stoppedAt = true, 0
+			continue
+		case b.stoppedAt == 0:
+			b.stoppedAt = l.now()
 		}
+		l.back.pool.drop(b.to)
 	}
 	l.ready.Store(ready && !l.untold)
 	l.unsend()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -18,6 +19,7 @@
 // from the figures at each scrape, so the figures keep their own form and names on /admin/stats.
 type metrics struct {
 	f        *figures
+	guard    *guard
 	calls    *prometheus.HistogramVec // seconds a call of discovery took, by result
 	revision prometheus.Gauge
 	reg      *prometheus.Registry
@@ -26,17 +28,20 @@
 var (
 	requestsDesc = prometheus.NewDesc("glencart_requests_total", "Requests ended, by class and outcome (completed, rejected, failed).",
 		[]string{"class", "outcome"}, nil)
-	attemptsDesc = prometheus.NewDesc("glencart_attempts_total", "Attempts at backends ended, by status.", []string{"status"}, nil)
-	upstreamDesc = prometheus.NewDesc("glencart_upstream_requests_total", "Attempts written whole to backends.", nil, nil)
-	pendingDesc  = prometheus.NewDesc("glencart_pending_requests", "Requests taken and not ended.", nil, nil)
-	membersDesc  = prometheus.NewDesc("glencart_members", "Backends in the list, draining ones too.", nil, nil)
-	usableDesc   = prometheus.NewDesc("glencart_members_usable", "Backends that may get requests now.", nil, nil)
+	attemptsDesc   = prometheus.NewDesc("glencart_attempts_total", "Attempts at backends ended, by status.", []string{"status"}, nil)
+	upstreamDesc   = prometheus.NewDesc("glencart_upstream_requests_total", "Attempts written whole to backends.", nil, nil)
+	pendingDesc    = prometheus.NewDesc("glencart_pending_requests", "Requests taken and not ended.", nil, nil)
+	membersDesc    = prometheus.NewDesc("glencart_members", "Backends in the list, draining ones too.", nil, nil)
+	retriesDesc    = prometheus.NewDesc("glencart_retries_total", "Attempts sent for a request that had one before.", nil, nil)
+	closesDesc     = prometheus.NewDesc("glencart_connections_closed_total", "Connections that the node ended itself, by reason.", []string{"reason"}, nil)
+	violationsDesc = prometheus.NewDesc("glencart_invariant_violations_total", "Rules on sending and closing that were about to be broken, or were: a fault of the program.", []string{"rule"}, nil)
+	usableDesc     = prometheus.NewDesc("glencart_members_usable", "Backends that may get requests now.", nil, nil)
 )
 
 // newMetrics registers the node's collectors on a registry of its own: the library's process and runtime
 // collectors are left out, since a node may run where reading /proc is refused.
 func newMetrics(f *figures) *metrics {
-	m := &metrics{f: f, reg: prometheus.NewRegistry(),
+	m := &metrics{f: f, guard: newGuard(balance.Config{}, slog.New(slog.DiscardHandler)), reg: prometheus.NewRegistry(),
 		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "glencart_discovery_call_seconds",
 			Help: "Time a call of discovery took, by result (ok, failed).", Buckets: prometheus.ExponentialBuckets(0.001, 4, 9)},
 			[]string{"result"}),
@@ -64,6 +69,13 @@
 	for s, name := range statusNames {
 		ch <- prometheus.MustNewConstMetric(attemptsDesc, prometheus.CounterValue, float64(f.attempts[s].Load()), name)
 	}
+	ch <- prometheus.MustNewConstMetric(retriesDesc, prometheus.CounterValue, float64(f.retries.Load()))
+	for reason, name := range closeNames {
+		ch <- prometheus.MustNewConstMetric(closesDesc, prometheus.CounterValue, float64(f.closes[reason].Load()), name)
+	}
+	for r, name := range ruleNames {
+		ch <- prometheus.MustNewConstMetric(violationsDesc, prometheus.CounterValue, float64(m.guard.broken[r].Load()), name)
+	}
 	members := f.members.Load()
 	ch <- prometheus.MustNewConstMetric(upstreamDesc, prometheus.CounterValue, float64(f.upstream.Load()))
 	ch <- prometheus.MustNewConstMetric(pendingDesc, prometheus.GaugeValue, float64(f.pending.Load()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,8 +75,11 @@
 	}
 	n.clients, n.backends = cfg.Limits.share(cfg.Admin != "")
 	n.pool = newPool(n.backends, limits.ConnectTimeout, limits.IdleClose)
+	n.pool.closes = &n.figures.closes
 	n.loop = newLoop(bal, newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, &n.figures.upstream, log),
 		n.figures, log)
+	n.loop.guard = newGuard(cfg.Settings.Config, log)
+	n.metrics.guard = n.loop.guard
 	n.front = newFront(n.loop, cfg.Settings, n.clients, log)
 	n.front.kept = newBudget(cfg.Limits.MemoryMB)
 	n.loop.back.kept = n.front.kept
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -44,8 +44,9 @@
 	keep   time.Duration // how long one may stand idle
 	settle time.Duration // how long one rests at the least
 
-	dials atomic.Int64    // since the loop last counted them
-	wary  monotime.Atomic // until which connections rest
+	dials  atomic.Int64 // since the loop last counted them
+	closes *closeCounts
+	wary   monotime.Atomic // until which connections rest
 
 	mu   sync.Mutex
 	most int                  // connections, idle or not
@@ -67,7 +68,7 @@
 		// A backend closes an idle connection at idleClose at the latest, and a request that crosses that is
 		// a reset that may have run: stay well below.
 		keep: idleClose * 7 / 10, settle: min(settleFor, idleClose/10),
-		idle: map[endpoint][]*conn{},
+		idle: map[endpoint][]*conn{}, closes: new(closeCounts),
 	}
 }
 
@@ -88,7 +89,8 @@
 		case bytesWait:
 			p.beWary()
 		}
-		p.discard(c)
+		p.closes.add(closedStale)
+		p.end(c)
 	}
 	if !p.reserve() {
 		return nil, errNoRoom
@@ -211,8 +213,13 @@
 	p.idle[c.to] = slices.Insert(list, at, c)
 }
 
-// discard ends a connection.
+// discard ends a connection that can't be used again.
 func (p *pool) discard(c *conn) {
+	p.closes.add(closedUsed)
+	p.end(c)
+}
+
+func (p *pool) end(c *conn) {
 	c.Close()
 	p.release()
 }
@@ -223,6 +230,7 @@
 	defer p.mu.Unlock()
 	for _, c := range p.idle[to] {
 		c.Close()
+		p.closes.add(closedUnlisted)
 		p.open--
 	}
 	delete(p.idle, to)
@@ -255,6 +263,7 @@
 func (p *pool) kept(list []*conn, now time.Time, keep time.Duration) []*conn {
 	for len(list) > 0 && now.Sub(list[0].idleAt) >= keep {
 		list[0].Close()
+		p.closes.add(closedIdle)
 		p.open--
 		list = list[1:]
 	}
