Show that the lab excuses what a node loses while it drains

Need: with one node told to end the lab counted hundreds of requests broken and excused all, so a request lost in a drain would pass unseen. Both tests fail on this commit: the first by the excuses, the second by a planted fault (set by the linker in the tests alone) that nobody notices.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -137,6 +137,40 @@
 	}
 }
 
+// nodeToldToEnd ends one node in order under load.
+const nodeToldToEnd = nodesUnderLoad + `
+[[fault]]
+at = "2s"
+kind = "term"
+target = ["node-1"]
+`
+
+// A node that is told to end answers all that it has taken, and nothing that it loses is excused: a connect that is refused
+// after its end is no request.
+func TestNodeToldToEndLosesNothing(t *testing.T) {
+	t.Parallel()
+	r := runScenario(t, nodeToldToEnd)
+	requireChecks(t, r)
+	if n := r.Counts["broken"] + r.Counts["none"] + r.Counts["excused"]; n > 0 {
+		t.Errorf("%d requests without an answer: %v", n, r.Counts)
+	}
+}
+
+// A node that drops one request that it has taken while it drains is found out.
+func TestPlantedDropInADrainIsCaught(t *testing.T) {
+	t.Parallel()
+	_, hitchvale := binaries(t)
+	glencart := filepath.Join(t.TempDir(), "glencart")
+	if out, err := exec.Command("go", "build", "-o", glencart, "-ldflags", "-X glencart/internal/node.plantDropInDrain=1",
+		"glencart/cmd/glencart").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	r := playWith(t, nodeToldToEnd, glencart, hitchvale)
+	if r.Passed || len(r.Checks) == 0 || r.Checks[0].Violations != 1 {
+		t.Errorf("not found out: %+v, %v", r.Checks, r.Counts)
+	}
+}
+
 // A backend that runs every POST twice must fail the check on double effects.
 func TestPlantedDoubleEffectIsCaught(t *testing.T) {
 	t.Parallel()
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -321,6 +321,7 @@
 		w.Header().Set("Connection", "close")
 		http.NewResponseController(w).EnableFullDuplex()
 	}
+	f.dropPlanted()
 	f.serve(w, hr, r)
 }
 
