Judge each request of the lab by its own history, and excuse no drain

Cause: a window of excuse stood open from SIGTERM to the end of the run; the proxies accept for a node that has ended, which showed as broken requests; the driver did not send again what crossed the close of a kept connection.

Change: clients write their requests themselves and keep when each connection was made, whether the request was the first on it, and how it ended. One that crossed a close is told from one that was read by what TCP tells: a close before all was read resets the connection, which proxies pass on. A connect that the node's machine refused is no request, and goes to another node, as a front's does. SIGTERM excuses nothing, a kill only what came on connections made before; excuses are counted by fault.

--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -16,11 +16,12 @@
 
 // Check is one invariant's verdict over the history.
 type Check struct {
-	Name       string   `json:"name"`
-	OK         bool     `json:"ok"`
-	Violations int      `json:"violations"`
-	Excused    int      `json:"excused,omitempty"`  // cases a fault of the node's own explains, not counted as violations
-	Examples   []string `json:"examples,omitempty"` // the first few, by trace id
+	Name       string         `json:"name"`
+	OK         bool           `json:"ok"`
+	Violations int            `json:"violations"`
+	Excused    int            `json:"excused,omitempty"`  // cases a fault of the node's own explains, not counted as violations
+	Reasons    map[string]int `json:"reasons,omitempty"`  // of the excused ones, by kind of fault
+	Examples   []string       `json:"examples,omitempty"` // the first few, by trace id
 }
 
 // History is what a run recorded: the driver's outcomes, the backends' executions, the faults' windows and
@@ -52,21 +53,46 @@
 	return false
 }
 
-// Excused tells whether a request was held by a node that a fault touched while it waited.
-func (h History) Excused(o Outcome, wait time.Duration) bool {
+// Excuse names the fault that frees a node of answering a request, judged by the request's own history; "" for none. A node that
+// is told to end is freed of nothing. One that is killed is freed of what it held then: what came on a connection made before.
+func (h History) Excuse(o Outcome) string {
 	end := o.Done
 	if end == 0 {
-		end = o.Sent + int64(wait)
+		end = o.Sent + o.Wait
 	}
-	return h.faulted(o.Node, o.Sent, end)
+	for _, w := range h.Windows {
+		if w.Node != o.Node {
+			continue
+		}
+		switch w.Kind {
+		case "kill", "power":
+			if o.Dialed <= w.From && w.From <= end {
+				return w.Kind
+			}
+		default:
+			if w.From <= end && (w.Till == 0 || w.Till >= o.Sent) {
+				return w.Kind
+			}
+		}
+	}
+	return ""
 }
 
+// isUnanswered tells whether a request that was taken got no final answer.
+func (o Outcome) isUnanswered() bool { return o.Kind == kindBroken || o.Kind == kindNone }
+
 func (h History) finalAnswers() Check {
-	c := Check{Name: "every request gets its final answer"}
+	c := Check{Name: "every request gets its final answer", Reasons: map[string]int{}}
 	for _, o := range h.Outcomes {
-		if (o.Kind == "broken" || o.Kind == "none") && !h.Excused(o, 0) {
-			c.add(fmt.Sprintf("%s at node-%d: %s", o.Trace, o.Node, o.Kind))
+		if !o.isUnanswered() {
+			continue
+		}
+		if reason := h.Excuse(o); reason != "" {
+			c.Excused++
+			c.Reasons[reason]++
+			continue
 		}
+		c.add(fmt.Sprintf("%s at node-%d: %s (fresh %v, resent %v): %s", o.Trace, o.Node, o.Kind, o.Fresh, o.Resent, o.Error))
 	}
 	return c.done()
 }
@@ -83,7 +109,7 @@
 		switch {
 		case !ok:
 			c.add(fmt.Sprintf("%s at %s: no client sent it", e.Trace, e.Backend))
-		case class == "claim":
+		case class == classClaim:
 			if runs[e.Trace]++; runs[e.Trace] == 2 {
 				c.add(fmt.Sprintf("%s: ran twice, again at %s", e.Trace, e.Backend))
 			}
--- a/internal/lab/driver.go
+++ b/internal/lab/driver.go
@@ -2,58 +2,69 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
 
-// Outcome is what the driver saw of one request.
+// Classes of requests: safe to repeat, unsafe, and dropped as a repeat by its key for a while.
+const (
+	classRead  = "read"
+	classClaim = "claim"
+	classToken = "token"
+)
+
+// Outcome is what a client saw of one request.
 type Outcome struct {
 	Trace  string `json:"trace"`
-	Node   int    `json:"node"`
+	Node   int    `json:"node"` // the last one that it was sent to
 	Class  string `json:"class"`
-	Sent   int64  `json:"sent_ns"` // Unix time in nanoseconds
+	Sent   int64  `json:"sent_ns"`   // Unix time in nanoseconds
+	Dialed int64  `json:"dialed_ns"` // when its last connection was made
 	Done   int64  `json:"done_ns"`
-	Status int    `json:"status"` // 0: no answer
-	Kind   string `json:"kind"`   // served, refused, failed, broken (the connection ended with no answer), none (no answer in time)
+	Left   int64  `json:"left_ns,omitempty"` // when its client left; 0: it stayed
+	Wait   int64  `json:"wait_ns"`           // how long its client waits
+	Status int    `json:"status"`            // 0: no answer
+	Kind   string `json:"kind"`
+	Fresh  bool   `json:"fresh,omitempty"`  // it was the first on its connection
+	Resent bool   `json:"resent,omitempty"` // it crossed the close of a kept connection and was sent once more
 	Error  string `json:"error,omitempty"`
 }
 
 // answerGrace is how long after its deadline the driver still waits for a final answer (FLEET: half a second).
 const answerGrace = 500 * time.Millisecond
 
+// improperWithin is how long an improper peer may wait until it hears an error or a close, and improperEvery one in how many
+// arrivals is such a peer, where the load has some.
+const improperWithin, improperEvery = 3 * time.Second, 100
+
 // maxInFlight bounds the driver's requests under way; a request that finds it full is not sent and is counted.
 const maxInFlight = 2048
 
-// Driver sends the scenario's load to the nodes through their client proxies, at the scenario's rate, and
-// records every outcome. It is bounded in count and time.
+// Driver sends the scenario's load to the nodes, at the scenario's rate, and records every outcome. It is bounded in count and
+// time.
 type Driver struct {
-	Load    Load
-	Targets []string // host:port of each node's client proxy
-	Seed    uint64
-	Stop    <-chan struct{} // closed to have no more sent; nil: never
+	Load  Load
+	Nodes []*client
+	Seed  uint64
+	Stop  <-chan struct{} // closed to have no more sent; nil: never
 
 	mu       sync.Mutex
 	outcomes []Outcome
 	unsent   int
+	improper Check
 }
 
 // Run sends until the count or the duration is reached, or ctx ends, then waits for the answers under way.
 func (d *Driver) Run(ctx context.Context, duration time.Duration) {
 	rng := rand.New(rand.NewPCG(d.Seed, 3))
-	clients := make([]*http.Client, len(d.Targets))
-	for i := range clients {
-		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: 2 * time.Second,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-		defer tr.CloseIdleConnections()
-		clients[i] = &http.Client{Transport: tr, Timeout: d.Load.Deadline.Duration + answerGrace}
-	}
+	d.improper.Name = "improper peers hear an error or a close in time"
+	defer func() {
+		for _, c := range d.Nodes {
+			c.close()
+		}
+	}()
 	sem := make(chan struct{}, maxInFlight)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -71,12 +82,8 @@
 			return
 		case <-time.After(time.Until(next)):
 		}
-		node := rng.IntN(len(d.Targets))
-		class, method := "read", http.MethodGet
-		if rng.Float64() < d.Load.Unsafe {
-			class, method = "claim", http.MethodPost
-		}
-		trace := fmt.Sprintf("%016x", rng.Uint64())
+		node := rng.IntN(len(d.Nodes))
+		r := d.draw(rng)
 		select {
 		case sem <- struct{}{}:
 		default:
@@ -85,50 +92,67 @@
 			d.mu.Unlock()
 			continue
 		}
+		misbehaves := d.Load.Improper && i%improperEvery == improperEvery/2
 		wg.Go(func() {
 			defer func() { <-sem }()
-			d.record(d.send(ctx, clients[node], node, class, method, trace))
+			if misbehaves {
+				d.misbehave(node)
+				return
+			}
+			d.record(d.send(node, r))
 		})
 	}
 }
 
-func (d *Driver) send(ctx context.Context, c *http.Client, node int, class, method, trace string) Outcome {
-	var body io.Reader
-	if method == http.MethodPost {
-		body = strings.NewReader(`{"claim":"` + trace + `"}`)
+// draw draws a request.
+func (d *Driver) draw(rng *rand.Rand) *clientRequest {
+	r := &clientRequest{class: classRead}
+	switch x := rng.Float64(); {
+	case x < d.Load.Unsafe:
+		r.class = classClaim
+	case x < d.Load.Unsafe+d.Load.Keyed:
+		r.class = classToken
 	}
-	o := Outcome{Trace: trace, Node: node, Class: class, Sent: time.Now().UnixNano()}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.Targets[node]+"/api", body)
-	if err != nil {
-		o.Kind, o.Error = "broken", err.Error()
-		return o
+	r.trace = fmt.Sprintf("%016x", rng.Uint64())
+	if r.class == classToken {
+		r.key = fmt.Sprintf("%032x", rng.Uint64())
 	}
-	req.Header.Set("X-Trace-Id", trace)
-	req.Header.Set("X-Qos", class)
-	req.Header.Set("X-Expires-In", fmt.Sprintf("%.3f", d.Load.Deadline.Seconds()))
-	resp, err := c.Do(req)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-		o.Status = resp.StatusCode
+	r.deadline = time.Now().Add(d.Load.Deadline.Duration)
+	if rng.Float64() < d.Load.Leave {
+		r.leave = time.Now().Add(time.Duration(rng.Float64() * float64(leaveWithin)))
 	}
-	o.Done = time.Now().UnixNano()
-	var timeout interface{ Timeout() bool }
-	switch {
-	case err != nil && errors.As(err, &timeout) && timeout.Timeout():
-		o.Kind, o.Error, o.Status = "none", err.Error(), 0
-	case err != nil:
-		o.Kind, o.Error, o.Status = "broken", err.Error(), 0
-	case o.Status == http.StatusOK:
-		o.Kind = "served"
-	case o.Status == http.StatusTooManyRequests || o.Status == http.StatusServiceUnavailable:
-		o.Kind = "refused"
-	default:
-		o.Kind = "failed"
+	return r
+}
+
+// leaveWithin is the time within which a client that leaves early does so.
+const leaveWithin = 100 * time.Millisecond
+
+// send makes a request of a node, or, where that does not accept it, of the next one that does.
+func (d *Driver) send(node int, r *clientRequest) Outcome {
+	o := Outcome{Trace: r.trace, Class: r.class, Sent: time.Now().UnixNano(), Wait: int64(d.Load.Deadline.Duration)}
+	for i := range d.Nodes {
+		o.Node = (node + i) % len(d.Nodes)
+		if d.Nodes[o.Node].send(r, &o) {
+			return o
+		}
 	}
+	o.Kind = kindUnconnected
 	return o
 }
 
+func (d *Driver) misbehave(node int) {
+	heard, ok := d.Nodes[node].improper(2 * improperWithin)
+	if ok && heard <= improperWithin+improperSlack {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.improper.add(fmt.Sprintf("at node-%d: heard %v after %s", node, ok, heard.Round(time.Millisecond)))
+}
+
+// improperSlack is what this machine may be late by.
+const improperSlack = 250 * time.Millisecond
+
 func (d *Driver) record(o Outcome) {
 	d.mu.Lock()
 	d.outcomes = append(d.outcomes, o)
@@ -141,3 +165,10 @@
 	defer d.mu.Unlock()
 	return append([]Outcome(nil), d.outcomes...), d.unsent
 }
+
+// Improper is the check on improper peers.
+func (d *Driver) Improper() Check {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.improper.done()
+}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -62,7 +62,7 @@
 		l.open(role, i, f.Kind)
 		return p.Signal(syscall.SIGKILL)
 	case "term":
-		l.open(role, i, f.Kind)
+		l.tellToEnd(ctx, role, i)
 		return p.Signal(syscall.SIGTERM)
 	case "pause":
 		l.open(role, i, f.Kind)
@@ -72,9 +72,7 @@
 		l.later(ctx, f.For.Duration, func() { p.Signal(syscall.SIGCONT); l.shut(role, i) })
 		return nil
 	case "restart":
-		p.Kill()
-		defer l.shut(role, i)
-		return p.Start(l.spawn)
+		return l.restart(ctx, role, i)
 	case "drain":
 		return l.drain(ctx, target)
 	default: // fill: a node's temporary folder, a replica's data folder
@@ -86,6 +84,40 @@
 	}
 }
 
+// frontDelay is how long after SIGTERM the front still sends new connections to a node (PROTOCOL: 0.2 to 0.4 s).
+const frontDelay = 300 * time.Millisecond
+
+// tellToEnd has the front send nothing new to a node that is told to end. That excuses nothing.
+func (l *loadRun) tellToEnd(ctx context.Context, role string, i int) {
+	if role != "node" || i >= len(l.clients) {
+		return
+	}
+	l.later(ctx, frontDelay, func() { l.clients[i].admit(false) })
+}
+
+// restart starts a process again. One that still runs is killed first, which excuses what a node holds then only where it was
+// not told to end before.
+func (l *loadRun) restart(ctx context.Context, role string, i int) error {
+	p := l.procs[role][i]
+	told := role == "node" && i < len(l.clients) && l.clients[i].isClosed()
+	if p.Exited() != nil && !told {
+		l.open(role, i, "kill")
+	}
+	p.Kill()
+	defer l.shut(role, i)
+	if err := p.Start(l.spawn); err != nil {
+		return err
+	}
+	if role == "node" && i < len(l.clients) {
+		l.timers.Go(func() {
+			if waitReady(ctx, p, l.links["client-"+p.Name].target, "/health/ready") == nil {
+				l.clients[i].admit(true)
+			}
+		})
+	}
+	return nil
+}
+
 // drain sets a backend draining, in the registry where there is one; the grace counts from its acknowledgement.
 func (l *loadRun) drain(ctx context.Context, id string) error {
 	if l.s.Registries == 0 {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -22,6 +22,7 @@
 	// propagation is, for each node and acknowledged drain, the milliseconds until the node held its revision.
 	propagation []float64
 	windows     []Window
+	clients     []*client // by node
 }
 
 func (l *loadRun) run(ctx context.Context) (Report, error) {
@@ -160,7 +161,7 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": 1024},
 		"settings": map[string]any{
 			"nInstances": l.s.Nodes, "index": i,
-			"classes":     []any{class("read", "pure"), class("claim", "side_effect")},
+			"classes":     []any{class(classRead, "pure"), class(classClaim, "side_effect"), l.tokenClass(class(classToken, "token"))},
 			"obligations": map[string]any{"drainGrace": l.s.Grace.Nanoseconds(), "graceToAnswer": answerGrace.Nanoseconds()},
 		},
 	}
@@ -174,13 +175,18 @@
 	return text
 }
 
+// keyWindow is how long backends drop the repeats of a keyed request.
+const keyWindow = 2 * time.Second
+
+// tokenClass adds what the settings tell of a keyed class.
+func (l *loadRun) tokenClass(class map[string]any) map[string]any {
+	class["keyScope"], class["window"] = "all", keyWindow.Nanoseconds()
+	return class
+}
+
 // play sends the load while the faults are applied on their times, then ends the children and judges.
 func (l *loadRun) play(ctx context.Context) (Report, error) {
-	targets := make([]string, l.s.Nodes)
-	for i := range targets {
-		targets[i] = l.links[fmt.Sprintf("client-node-%d", i)].Addr()
-	}
-	d := &Driver{Load: l.s.Load, Targets: targets, Seed: l.s.Seed}
+	d := &Driver{Load: l.s.Load, Nodes: l.newClients(), Seed: l.s.Seed}
 	l.start = time.Now()
 	playCtx, stopFaults := context.WithCancel(ctx)
 	var faults sync.WaitGroup
@@ -206,7 +212,11 @@
 		}
 		h.Executions = append(h.Executions, runs...)
 	}
-	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, l.starts(), acked)
+	extra := []Check{acked}
+	if l.s.Load.Improper {
+		extra = append(extra, d.Improper())
+	}
+	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, l.starts(), extra...)
 	r.Propagation = newSpread(l.propagation)
 	if err := writeOutcomes(l.path("outcomes.jsonl"), h.Outcomes); err != nil {
 		return r, err
@@ -214,6 +224,15 @@
 	return r, r.Write(l.opts.Out)
 }
 
+// newClients makes the clients' side of each node.
+func (l *loadRun) newClients() []*client {
+	for i := range l.s.Nodes {
+		link := l.links[fmt.Sprintf("client-node-%d", i)]
+		l.clients = append(l.clients, &client{target: link.Addr(), link: link})
+	}
+	return l.clients
+}
+
 // writeOutcomes keeps every request's outcome, its node among them, so that a violation can be followed by trace id.
 func writeOutcomes(path string, outcomes []Outcome) error {
 	f, err := os.Create(path)
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -25,6 +25,7 @@
 	drop    float64
 	rng     *rand.Rand
 	closed  bool
+	refused map[string]bool // by the near side's address: connections that the far side refused
 	workers sync.WaitGroup
 }
 
@@ -41,7 +42,7 @@
 }
 
 func newProxy(target string, seed uint64) *Proxy {
-	return &Proxy{target: target, conns: map[net.Conn]struct{}{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	return &Proxy{target: target, conns: map[net.Conn]struct{}{}, refused: map[string]bool{}, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Addr is where the proxy listens.
@@ -101,6 +102,14 @@
 	p.workers.Wait()
 }
 
+// refusedFor tells whether the far side could not be connected to for the connection from an address. It is so before that
+// connection ends.
+func (p *Proxy) refusedFor(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[addr]
+}
+
 func abort(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		t.SetLinger(0)
@@ -154,6 +163,9 @@
 	up, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.target)
 	cancel()
 	if err != nil {
+		p.mu.Lock()
+		p.refused[c.RemoteAddr().String()] = true
+		p.mu.Unlock()
 		abort(c) // the far side is down: the near side sees its connection reset, as a refused connect would
 		return
 	}
@@ -181,6 +193,10 @@
 				abort(src)
 				return
 			}
+			if ended(dst) && awaitReset(dst) {
+				abort(src) // it crossed the close of the far side, which resets it
+				return
+			}
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -86,17 +86,18 @@
 		sec := &r.Seconds[s]
 		sec.Sent++
 		switch o.Kind {
-		case "served":
+		case kindServed:
 			sec.Served++
 			lat[s] = append(lat[s], float64(o.Done-o.Sent)/1e6)
-		case "refused":
+		case kindRefused:
 			sec.Refused++
-		case "failed":
+		case kindFailed:
 			sec.Failed++
-		default:
+		case kindBroken, kindNone:
 			sec.Lost++
-			if h.Excused(o, 0) {
+			if reason := h.Excuse(o); reason != "" {
 				r.Counts["excused"]++
+				r.Counts["excused by "+reason]++
 			}
 		}
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -80,6 +80,11 @@
 	Count    int      `toml:"count"`
 	Deadline Duration `toml:"deadline"` // the client's wait for an answer
 	Unsafe   float64  `toml:"unsafe"`
+	// Keyed is the share sent with an idempotency key, Leave the share of clients that leave early; Improper has some peers
+	// send half a request and stay.
+	Keyed    float64 `toml:"keyed"`
+	Leave    float64 `toml:"leave"`
+	Improper bool    `toml:"improper"`
 }
 
 // Behavior is how stand-in backends serve: a service time, a share of 500s, and a planted bug that runs every
@@ -163,6 +168,10 @@
 		return tomlconf.Bad("load.deadline", "%s is below 10ms", s.Load.Deadline)
 	case s.Load.Unsafe < 0 || s.Load.Unsafe > 1:
 		return tomlconf.Bad("load.unsafe", "%g is outside 0 to 1", s.Load.Unsafe)
+	case s.Load.Keyed < 0 || s.Load.Keyed+s.Load.Unsafe > 1:
+		return tomlconf.Bad("load.keyed", "%g is outside 0 to 1 less unsafe", s.Load.Keyed)
+	case s.Load.Leave < 0 || s.Load.Leave > 1:
+		return tomlconf.Bad("load.leave", "%g is outside 0 to 1", s.Load.Leave)
 	case s.Backend.Errors < 0 || s.Backend.Errors > 1:
 		return tomlconf.Bad("backend.errors", "%g is outside 0 to 1", s.Backend.Errors)
 	}
--- a/internal/lab/work.go
+++ b/internal/lab/work.go
@@ -65,13 +65,9 @@
 func (l *workRun) run(ctx context.Context) (Report, error) {
 	l.drained = map[string]time.Time{}
 	l.over = Check{Name: "never more machines out than the budget"}
-	targets := make([]string, l.s.Nodes)
-	for i := range targets {
-		targets[i] = l.links[fmt.Sprintf("client-node-%d", i)].Addr()
-	}
 	l.start = time.Now()
 	stopLoad := make(chan struct{})
-	d := &Driver{Load: l.s.Load, Targets: targets, Seed: l.s.Seed}
+	d := &Driver{Load: l.s.Load, Nodes: l.newClients(), Seed: l.s.Seed}
 	var beside sync.WaitGroup
 	d.Stop = stopLoad
 	beside.Go(func() { d.Run(ctx, l.s.Duration.Duration) })
