--- a/cmd/hitchvale/lab.go
+++ b/cmd/hitchvale/lab.go
@@ -12,11 +12,12 @@
 	"github.com/spf13/cobra"
 
 	"glencart/internal/lab"
+	"glencart/internal/shim"
 )
 
 func labCmd(g *globals) *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "The fault lab: start processes on loopback, break them, check the history"}
-	c.AddCommand(labRunCmd(g), labCheckCmd(), labBackendCmd(g), labCandidateCmd())
+	c.AddCommand(labRunCmd(g), labCheckCmd(), labBackendCmd(g), labShimCmd(), labCandidateCmd())
 	return c
 }
 
@@ -116,10 +117,39 @@
 	c.Flags().DurationVar(&service, "service", 2*time.Millisecond, "service time of each request")
 	c.Flags().Float64Var(&b.Errors, "errors", 0, "share of requests answered 500")
 	c.Flags().BoolVar(&b.Twice, "twice", false, "planted bug: run every POST twice")
+	c.Flags().Float64Var(&b.Resets, "resets", 0, "share of requests whose connection ends after they have run")
+	c.Flags().Float64Var(&b.Hangs, "hangs", 0, "share of requests answered far too late")
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the random errors")
 	return c
 }
 
+// labShimCmd runs a program of the lab's with its system calls failing by a plan.
+func labShimCmd() *cobra.Command {
+	var plan string
+	var seed uint64
+	c := &cobra.Command{
+		Use:    "shim -- PROGRAM [ARG...]",
+		Short:  "Run a program with system calls that fail by a plan (started by the lab)",
+		Hidden: true,
+		Args:   cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			p, err := shim.ParsePlan(plan)
+			if err != nil {
+				return usage(err)
+			}
+			code, err := shim.Run(p, seed, args)
+			if err != nil {
+				return failed(err)
+			}
+			os.Exit(code)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&plan, "plan", "[]", "the plan, as JSON")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the draws")
+	return c
+}
+
 // labCandidateCmd is a candidate for a duty that the lab starts, kills, pauses and cuts off (lease scenarios).
 func labCandidateCmd() *cobra.Command {
 	var c lab.Candidate
--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -81,16 +81,29 @@
 		}
 	}
 	time.Sleep(s.Behavior.Service.Duration)
-	s.mu.Lock()
-	fail := s.rng.Float64() < s.Behavior.Errors
-	s.mu.Unlock()
-	if fail {
+	if s.draw(s.Behavior.Hangs) {
+		time.Sleep(hangFor)
+	}
+	if s.draw(s.Behavior.Resets) {
+		panic(http.ErrAbortHandler)
+	}
+	if s.draw(s.Behavior.Errors) {
 		http.Error(w, "planted error", http.StatusInternalServerError)
 		return
 	}
 	fmt.Fprintf(w, "ran %s at %s\n", trace, s.ID)
 }
 
+// hangFor is how long a request hangs that is to hang.
+const hangFor = 2 * time.Second
+
+// draw tells whether a share hits this time.
+func (s *BackendServer) draw(share float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < share
+}
+
 func (s *BackendServer) record(e Execution) error {
 	line, err := json.Marshal(e)
 	if err != nil {
--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -29,6 +29,7 @@
 type History struct {
 	Outcomes   []Outcome
 	Executions []Execution
+	Attempts   []Attempt
 	Windows    []Window
 	Drained    map[string]time.Time
 	Grace      time.Duration // drain grace
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -54,12 +54,6 @@
 	c.closed = !admitted
 }
 
-func (c *client) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
-}
-
 // kept takes the connection that was used last, or nil.
 func (c *client) kept() *clientConn {
 	c.mu.Lock()
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -32,35 +32,105 @@
 	changed  []int64  // revision at which each member last changed
 	notify   chan struct{}
 	drained  map[string]time.Time
-	servers  []*http.Server
+	views    []*view
+	down     bool
+	lastUp   time.Time // when it last came back
+	drains   map[string][]*drainPeriod
 	wg       sync.WaitGroup
 }
 
+// view is an address at which one node finds the list.
+type view struct {
+	node   string
+	addr   string
+	ln     net.Listener
+	server *http.Server
+}
+
 // NewDiscovery starts with the members listed (all ready) at revision 1.
 func NewDiscovery(members []Member) *Discovery {
 	d := &Discovery{revision: 1, members: members, changed: make([]int64, len(members)), notify: make(chan struct{}),
-		drained: map[string]time.Time{}}
+		drained: map[string]time.Time{}, drains: map[string][]*drainPeriod{}}
 	for i := range d.changed {
 		d.changed[i] = 1
 	}
 	return d
 }
 
-// View serves the list on a new listener of 127.0.0.1, with each backend's address replaced by addr(id).
-func (d *Discovery) View(addr func(id string) string) (string, error) {
+// View serves the list to a node on a new listener of 127.0.0.1, with each backend's address replaced by addr(id).
+func (d *Discovery) View(node string, addr func(id string) string) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, addr) }),
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, node, addr) }),
 		ReadHeaderTimeout: 5 * time.Second}
 	d.mu.Lock()
-	d.servers = append(d.servers, srv)
+	d.views = append(d.views, &view{node: node, addr: ln.Addr().String(), ln: ln, server: srv})
 	d.mu.Unlock()
 	d.wg.Go(func() { srv.Serve(ln) })
 	return ln.Addr().String(), nil
 }
 
+// Leave has a node's addresses but one accept nothing more, and returns what ends their connections.
+func (d *Discovery) Leave(node, but string) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var left []*view
+	for _, v := range d.views {
+		if v.node == node && v.addr != but {
+			v.ln.Close()
+			left = append(left, v)
+		}
+	}
+	return func() {
+		for _, v := range left {
+			v.server.Close()
+		}
+	}
+}
+
+// SetDown has discovery reset every call, watches too, or answer again.
+func (d *Discovery) SetDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	if !down {
+		d.lastUp = time.Now()
+	}
+	d.tell()
+}
+
+// tell wakes the watches. Called with the lock held.
+func (d *Discovery) tell() {
+	close(d.notify)
+	d.notify = make(chan struct{})
+}
+
+// Started lists a member as ready and started just now.
+func (d *Discovery) Started(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for i := range d.members {
+		if d.members[i].ID == id {
+			d.revision++
+			d.members[i].Phase, d.members[i].UpSince, d.changed[i] = "ready", now.UnixMilli(), d.revision
+		}
+	}
+	if periods := d.drains[id]; len(periods) > 0 && periods[len(periods)-1].till.IsZero() {
+		periods[len(periods)-1].till = now
+	}
+	d.tell()
+}
+
+// drainPeriods gives when each backend drained, and when discovery last came back.
+func (d *Discovery) drainPeriods() (map[string][]*drainPeriod, time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drains, d.lastUp
+}
+
 // SetPhase changes a member's phase and raises the revision; it returns when the change was made.
 func (d *Discovery) SetPhase(id, phase string) {
 	d.mu.Lock()
@@ -71,9 +141,9 @@
 			d.members[i].Phase, d.changed[i] = phase, d.revision
 			if phase == "draining" {
 				d.drained[id] = time.Now()
+				d.drains[id] = append(d.drains[id], &drainPeriod{from: d.drained[id], told: map[string]time.Time{}})
 			}
-			close(d.notify)
-			d.notify = make(chan struct{})
+			d.tell()
 		}
 	}
 }
@@ -92,16 +162,16 @@
 // Close ends every view and its watches.
 func (d *Discovery) Close() {
 	d.mu.Lock()
-	servers := d.servers
+	views := d.views
 	d.mu.Unlock()
-	for _, s := range servers {
-		s.Shutdown(context.Background())
-		s.Close()
+	for _, v := range views {
+		v.server.Shutdown(context.Background())
+		v.server.Close()
 	}
 	d.wg.Wait()
 }
 
-func (d *Discovery) serve(w http.ResponseWriter, r *http.Request, addr func(string) string) {
+func (d *Discovery) serve(w http.ResponseWriter, r *http.Request, node string, addr func(string) string) {
 	if r.URL.Path != "/registry/instances" || r.Method != http.MethodGet {
 		http.NotFound(w, r)
 		return
@@ -121,9 +191,29 @@
 		}
 		d.waitPast(r.Context(), after, time.Duration(min(wait, 60000))*time.Millisecond)
 	}
-	a := d.answer(after, addr)
+	a, up := d.answer(after, addr)
+	if !up {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(a)
+	d.written(node, a)
+}
+
+// written takes in that an answer has been written to a node.
+func (d *Discovery) written(node string, a listAnswer) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range a.Members {
+		periods := d.drains[m.ID]
+		if m.Phase != "draining" || len(periods) == 0 {
+			continue
+		}
+		if told := periods[len(periods)-1].told; told[node].IsZero() {
+			told[node] = now
+		}
+	}
 }
 
 // waitPast holds until the revision passes after, the wait ends or the caller goes.
@@ -132,9 +222,9 @@
 	defer t.Stop()
 	for {
 		d.mu.Lock()
-		rev, ch := d.revision, d.notify
+		rev, ch, down := d.revision, d.notify, d.down
 		d.mu.Unlock()
-		if rev > after {
+		if rev > after || down {
 			return
 		}
 		select {
@@ -148,7 +238,7 @@
 }
 
 // answer is the whole list, or what changed after a revision that the list knows.
-func (d *Discovery) answer(after int64, addr func(string) string) listAnswer {
+func (d *Discovery) answer(after int64, addr func(string) string) (list listAnswer, up bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	whole := after < 1 || after > d.revision
@@ -159,5 +249,5 @@
 			a.Members = append(a.Members, m)
 		}
 	}
-	return a
+	return a, !d.down
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -37,7 +37,11 @@
 
 func (l *loadRun) apply(ctx context.Context, f Fault) error {
 	switch f.Kind {
-	case "kill", "term", "power", "pause", "restart", "drain", "fill":
+	case "outage":
+		l.disc.SetDown(true)
+		l.later(ctx, f.For.Duration, func() { l.disc.SetDown(false) })
+		return nil
+	case "kill", "term", "power", "pause", "restart", "drain", "fill", "hup", "hold", "rejoin":
 		var errs []error
 		for _, t := range f.Target {
 			errs = append(errs, l.applyProc(ctx, f, t))
@@ -71,6 +75,16 @@
 		}
 		l.later(ctx, f.For.Duration, func() { p.Signal(syscall.SIGCONT); l.shut(role, i) })
 		return nil
+	case "hold":
+		if err := p.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		l.later(ctx, f.For.Duration, func() { p.Signal(syscall.SIGCONT) })
+		return nil
+	case "hup":
+		return l.moveDiscovery(ctx, i)
+	case "rejoin":
+		return l.rejoin(ctx, i)
 	case "restart":
 		return l.restart(ctx, role, i)
 	case "drain":
@@ -92,19 +106,34 @@
 	if role != "node" || i >= len(l.clients) {
 		return
 	}
+	l.mu.Lock()
+	l.toldToEnd[i] = time.Now()
+	l.mu.Unlock()
 	l.later(ctx, frontDelay, func() { l.clients[i].admit(false) })
 }
 
-// restart starts a process again. One that still runs is killed first, which excuses what a node holds then only where it was
-// not told to end before.
+// mayBeKilled tells whether a node was told to end so long ago that SIGKILL excuses nothing (PROTOCOL).
+func (l *loadRun) mayBeKilled(i int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	told := l.toldToEnd[i]
+	return !told.IsZero() && time.Since(told) >= l.s.Load.Deadline.Duration+killAfter
+}
+
+// restart starts a process again. One that still runs is killed first, which excuses what a node holds then unless it was told
+// to end long enough before.
 func (l *loadRun) restart(ctx context.Context, role string, i int) error {
 	p := l.procs[role][i]
-	told := role == "node" && i < len(l.clients) && l.clients[i].isClosed()
-	if p.Exited() != nil && !told {
+	if role == "node" && p.Exited() != nil && !l.mayBeKilled(i) {
 		l.open(role, i, "kill")
 	}
 	p.Kill()
 	defer l.shut(role, i)
+	if role == "node" {
+		l.mu.Lock()
+		delete(l.toldToEnd, i)
+		l.mu.Unlock()
+	}
 	if err := p.Start(l.spawn); err != nil {
 		return err
 	}
@@ -118,6 +147,50 @@
 	return nil
 }
 
+// hupAfter is how long after its start a node may be told to read its configuration again.
+const hupAfter = time.Second
+
+// oldDiscoveryStays is how long discovery keeps the connections of an address that it has left (TERMS).
+const oldDiscoveryStays = 1500 * time.Millisecond
+
+// moveDiscovery has a node find discovery at another address: its file names that, and SIGHUP tells it to read the file.
+func (l *loadRun) moveDiscovery(ctx context.Context, i int) error {
+	name := fmt.Sprintf("node-%d", i)
+	p := l.procs["node"][i]
+	if p.Exited() == nil || p.age() < hupAfter {
+		return nil // there is nobody to tell
+	}
+	view, err := l.disc.View(name, func(id string) string { return l.links[name+":"+id].Addr() })
+	if err != nil {
+		return err
+	}
+	conf := l.nodeConfig(i, l.listenAddr[i], view, l.adminAddr[i], nil)
+	if err := os.WriteFile(l.path("%s.json", name), conf, 0o644); err != nil {
+		return err
+	}
+	if err := p.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	leave := l.disc.Leave(name, view)
+	l.later(ctx, oldDiscoveryStays, leave)
+	return nil
+}
+
+// rejoin has a backend come back as a new process, which is listed as one that has just started.
+func (l *loadRun) rejoin(ctx context.Context, j int) error {
+	p := l.procs["backend"][j]
+	p.Kill()
+	if err := p.Start(l.spawn); err != nil {
+		return err
+	}
+	l.timers.Go(func() {
+		if waitReady(ctx, p, l.backendAddr[j], "/health/live") == nil {
+			l.disc.Started(p.Name)
+		}
+	})
+	return nil
+}
+
 // drain sets a backend draining, in the registry where there is one; the grace counts from its acknowledgement.
 func (l *loadRun) drain(ctx context.Context, id string) error {
 	if l.s.Registries == 0 {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -17,6 +17,14 @@
 // that could not be played (a child that did not start, a folder that could not be written); a run whose
 // invariants fail returns a report with Passed false and no error. Every child is ended before Run returns.
 func Run(ctx context.Context, s Scenario, opts Options) (Report, error) {
+	if s.Soak != nil {
+		return runSoak(ctx, s, opts)
+	}
+	return runLoad(ctx, s, opts)
+}
+
+// runLoad plays one run.
+func runLoad(ctx context.Context, s Scenario, opts Options) (Report, error) {
 	c, err := newCluster(opts, s.Seed)
 	if err != nil {
 		return Report{}, err
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -14,19 +14,21 @@
 // loadRun is the experiment of nodes between clients and backends: a load while faults are applied on their times.
 type loadRun struct {
 	*cluster
-	s                      Scenario
-	backendAddr, adminAddr []string // the second addresses are the nodes', for /metrics
-	disc                   *Discovery
+	s                                  Scenario
+	backendAddr, adminAddr, listenAddr []string // the second addresses are the nodes', for /metrics
+	disc                               *Discovery
 
 	drained map[string]time.Time // backends set draining through the registry, when it acknowledged
 	// propagation is, for each node and acknowledged drain, the milliseconds until the node held its revision.
 	propagation []float64
 	windows     []Window
 	clients     []*client // by node
+	attempts    attemptLog
+	toldToEnd   map[int]time.Time // when a node that has not been started again was told to end
 }
 
 func (l *loadRun) run(ctx context.Context) (Report, error) {
-	l.drained = map[string]time.Time{}
+	l.drained, l.toldToEnd = map[string]time.Time{}, map[int]time.Time{}
 	if err := l.setUp(ctx); err != nil {
 		return Report{}, err
 	}
@@ -67,7 +69,7 @@
 func (l *loadRun) backendArgv(j int) func(addr string) []string {
 	b := l.s.Backend
 	return func(addr string) []string {
-		argv := []string{l.opts.Hitchvale, "lab", "backend", "--id", fmt.Sprintf("backend-%d", j), "--listen", addr,
+		argv := []string{l.opts.Hitchvale, "lab", "backend", "--resets", fmt.Sprint(b.Resets), "--hangs", fmt.Sprint(b.Hangs), "--id", fmt.Sprintf("backend-%d", j), "--listen", addr,
 			"--log", l.path("backend-%d.runs", j), "--service", b.Service.String(),
 			"--errors", fmt.Sprint(b.Errors), "--seed", fmt.Sprint(l.s.Seed + uint64(j))}
 		if b.Twice {
@@ -109,11 +111,14 @@
 		return addrs[0], addrs, nil
 	}
 	for j, addr := range l.backendAddr {
-		if _, err := l.link(fmt.Sprintf("%s:backend-%d", name, j), addr); err != nil {
+		backend := fmt.Sprintf("backend-%d", j)
+		p, err := l.link(name+":"+backend, addr)
+		if err != nil {
 			return "", nil, err
 		}
+		l.attempts.watch(p, name, backend)
 	}
-	view, err := l.disc.View(func(id string) string { return l.links[name+":"+id].Addr() })
+	view, err := l.disc.View(name, func(id string) string { return l.links[name+":"+id].Addr() })
 	if err != nil {
 		return "", nil, fmt.Errorf("discovery for %s: %w", name, err)
 	}
@@ -136,14 +141,17 @@
 		if err := os.WriteFile(conf, l.nodeConfig(i, addr, view, admin, replicas), 0o644); err != nil {
 			l.log.Error("node configuration not written", "node", name, "error", err)
 		}
-		return []string{l.opts.Glencart}
+		if !l.s.shimmed(i) {
+			return []string{l.opts.Glencart}
+		}
+		return []string{l.opts.Hitchvale, "lab", "shim", "--plan", drawPlan(l.s, i).String(), "--seed", fmt.Sprint(l.s.Seed), "--", l.opts.Glencart}
 	}
 	env := []string{"BALANCER_CONFIG=" + conf, "BALANCER_NAME=" + name, "TMPDIR=" + tmp}
 	_, addr, err := l.startChild(ctx, "node", argv, env, "/health/ready")
 	if err != nil {
 		return err
 	}
-	l.adminAddr = append(l.adminAddr, admin)
+	l.adminAddr, l.listenAddr = append(l.adminAddr, admin), append(l.listenAddr, addr)
 	_, err = l.link("client-"+name, addr)
 	return err
 }
@@ -168,6 +176,14 @@
 	if len(registry) > 0 {
 		c["registry"] = registry
 	}
+	if l.s.Soak != nil {
+		settings := c["settings"].(map[string]any)
+		settings["limits"] = map[string]any{"cancelling": true, "retryAfter": true, "maxAttempts": 3,
+			"connectTimeout": (300 * time.Millisecond).Nanoseconds()}
+		obligations := settings["obligations"].(map[string]any)
+		obligations["coldShare"], obligations["fallMultiple"] = 0.2, 3
+		obligations["warmWithin"], obligations["overloadFor"] = (5 * time.Second).Nanoseconds(), (1500 * time.Millisecond).Nanoseconds()
+	}
 	if f := l.s.Fleet; f != nil {
 		c["fleet"] = map[string]any{"registry": registry, "site": fmt.Sprintf("site-%d", i%f.Sites), "interval_ms": f.Interval.Milliseconds()}
 	}
@@ -202,7 +218,10 @@
 	l.stopAll()
 	drained := l.disc.Drained()
 	maps.Copy(drained, l.drained)
-	h := History{Drained: drained, Grace: l.s.Grace.Duration, Windows: l.windows}
+	if l.s.Soak != nil {
+		drained = nil // a backend may drain more than once: see verifySoak
+	}
+	h := History{Drained: drained, Grace: l.s.Grace.Duration, Windows: l.windows, Attempts: l.attempts.all()}
 	var unsent int
 	h.Outcomes, unsent = d.Outcomes()
 	for j := range l.s.Backends {
@@ -216,6 +235,11 @@
 	if l.s.Load.Improper {
 		extra = append(extra, d.Improper())
 	}
+	if l.s.Soak != nil {
+		drains, lastUp := l.disc.drainPeriods()
+		extra = append(extra, h.verifySoak(drains, lastUp)...)
+		extra = append(extra, l.checkNodeLogs())
+	}
 	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, l.starts(), extra...)
 	r.Propagation = newSpread(l.propagation)
 	if err := writeOutcomes(l.path("outcomes.jsonl"), h.Outcomes); err != nil {
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -61,6 +61,7 @@
 	exited  chan struct{}
 	paused  bool
 	started int
+	since   time.Time // when the current run began
 }
 
 // Start runs the process once more. It fails where the process still runs.
@@ -91,7 +92,7 @@
 		p.mu.Unlock()
 		close(exited)
 	}()
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.exited, p.since = cmd, exited, time.Now()
 	p.started++
 	return nil
 }
@@ -103,6 +104,13 @@
 	return p.started
 }
 
+// age is how long the current run of the process has lasted.
+func (p *Proc) age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.since)
+}
+
 // Exited is closed when the current run of the process ends; nil where it does not run.
 func (p *Proc) Exited() <-chan struct{} {
 	p.mu.Lock()
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -17,6 +17,7 @@
 type Proxy struct {
 	ln     net.Listener // nil: a fan accepts for it
 	target string
+	onSent func(piece []byte) // sees each piece that the near side sends; nil: nobody does. Set before the link is used
 
 	mu      sync.Mutex
 	conns   map[net.Conn]struct{}
@@ -175,16 +176,19 @@
 	}
 	defer func() { p.track(up, false); up.Close() }()
 	var pair sync.WaitGroup
-	pair.Go(func() { p.pipe(up, c) })
-	p.pipe(c, up)
+	pair.Go(func() { p.pipe(up, c, p.onSent) })
+	p.pipe(c, up, nil)
 	pair.Wait()
 }
 
 // pipe copies from src to dst, through the partition and the delay, and half-closes dst at src's end.
-func (p *Proxy) pipe(dst, src net.Conn) {
+func (p *Proxy) pipe(dst, src net.Conn, seen func([]byte)) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		if n > 0 && seen != nil {
+			seen(buf[:n])
+		}
 		if n > 0 {
 			if !p.wait() {
 				return
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -33,6 +33,8 @@
 	Duty *Duty `toml:"duty"`
 	// Fleet, where set, makes the run one of the fleet's shared view, under faults drawn from the seed (see Fleet).
 	Fleet *Fleet `toml:"fleet"`
+	// Soak, where set, has faults drawn from the seed (see Soak).
+	Soak *Soak `toml:"soak"`
 	// Work, beside a fleet, has machines taken out for work under load (see Work).
 	Work *Work `toml:"work"`
 }
@@ -92,6 +94,8 @@
 type Behavior struct {
 	Service Duration `toml:"service"`
 	Errors  float64  `toml:"errors"`
+	Resets  float64  `toml:"resets"` // share that runs and whose connection then ends
+	Hangs   float64  `toml:"hangs"`  // share that is answered far too late
 	Twice   bool     `toml:"twice"`
 }
 
@@ -102,6 +106,10 @@
 //	partition, delay (Delay), reset, drop (Share)   a link: client-node-N or node-N:backend-M, or a glob of them
 //	drain                               backend-N set draining in discovery
 //	fill                                node-N: Bytes written into its temporary folder
+//	hup                                 node-N: discovery moves for it, its file names the new address, SIGHUP
+//	hold (For)                          node-N: SIGSTOP then SIGCONT, so short that it excuses nothing
+//	rejoin                              backend-N: killed, started again and listed as ready, just started
+//	outage (For)                        discovery: it resets every call
 //
 // A fault with For is undone after that time (partition healed, delay removed, process continued).
 type Fault struct {
@@ -118,7 +126,8 @@
 type Duration = tomlconf.Duration
 
 var faultKinds = map[string]bool{"kill": true, "term": true, "pause": true, "restart": true, "power": true,
-	"partition": true, "delay": true, "reset": true, "drop": true, "drain": true, "fill": true}
+	"partition": true, "delay": true, "reset": true, "drop": true, "drain": true, "fill": true,
+	"hup": true, "hold": true, "rejoin": true, "outage": true}
 
 // LoadScenario reads and checks a scenario file. Errors name the file, the line and the key.
 func LoadScenario(path string) (Scenario, error) {
@@ -180,6 +189,11 @@
 			return err
 		}
 	}
+	if s.Soak != nil {
+		if err := s.Soak.check(s); err != nil {
+			return err
+		}
+	}
 	if s.Work != nil {
 		if err := s.Work.check(s); err != nil {
 			return err
@@ -226,6 +240,12 @@
 		}
 		return nil
 	}
+	if kind == "outage" {
+		if t != "discovery" || s.Registries > 0 {
+			return fmt.Errorf("%q: an outage is one of the stand-in discovery", t)
+		}
+		return nil
+	}
 	role, i, err := parseProc(t)
 	if err != nil {
 		return err
@@ -233,6 +253,9 @@
 	if n := s.count(role); i >= n {
 		return fmt.Errorf("%q: there are %d of %s", t, n, role)
 	}
+	if (kind == "hup" || kind == "hold") && role != "node" || kind == "rejoin" && (role != "backend" || s.Registries > 0) {
+		return fmt.Errorf("%q: %s does not apply to a %s here", t, kind, role)
+	}
 	if (kind == "drain" && role != "backend") || (kind == "fill" && role == "backend") {
 		return fmt.Errorf("%q: %s does not apply to a %s", t, kind, role)
 	}
