Show that a log that nobody reads stops a node, and one whose reader goes ends it

Need: nothing outside may hold a node up or end it with what it has taken. Found by reading what blocks whoever posts to the loop. Both tests fail on this commit: with standard error a pipe that is full the node neither answers in time nor ends after SIGTERM (the loop and the drain stand in a write), and with its reader gone the next line ends the process by SIGPIPE, with no drain.

--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -66,24 +67,37 @@
 	*exec.Cmd
 	t      *testing.T
 	config string // the file
+	listen string
+	log    *os.File // what it logs
 	logged *bufio.Scanner
 }
 
 // startProcess starts a node that asks the discovery at an address, and waits until it serves.
 func startProcess(t *testing.T, discovery string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0]), t: t, config: t.TempDir() + "/config.json"}
+	p := &process{Cmd: exec.Command(os.Args[0]), t: t, config: t.TempDir() + "/config.json", listen: "127.0.0.1:0"}
+	l, err := net.Listen("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.listen = l.Addr().String()
+	l.Close()
 	p.configure(discovery)
 	p.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+p.config)
-	stderr, err := p.StderrPipe()
+	read, write, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.log, p.Stderr = read, write
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { p.Process.Kill() })
-	p.logged = bufio.NewScanner(stderr)
+	write.Close()
+	t.Cleanup(func() {
+		p.Process.Kill()
+		read.Close()
+	})
+	p.logged = bufio.NewScanner(read)
 	p.awaitLine("serving")
 	return p
 }
@@ -98,8 +112,8 @@
 // configure names another discovery in the file.
 func (p *process) configure(discovery string) {
 	p.t.Helper()
-	p.write(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"settings":{"classes":[{"name":"a","deadline":100000000}]}}`,
-		discovery))
+	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"settings":{"classes":[{"name":"a","deadline":100000000}]}}`,
+		p.listen, discovery))
 }
 
 func (p *process) awaitLine(text string) {
@@ -177,3 +191,66 @@
 	<-askedAfter
 	p.leaves()
 }
+
+// answers tells whether the node answers a request within a while: it has no backend, so it refuses.
+func (p *process) answers() bool {
+	c := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/api", nil)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.Header.Set("X-Trace-Id", "id")
+	r.Header.Set("X-Qos", "a")
+	resp, err := c.Do(r)
+	if err != nil {
+		p.t.Log(err)
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusServiceUnavailable
+}
+
+// A log that nobody reads any more holds nothing up: the node answers, and ends when it is told to.
+func TestLogThatNobodyReadsHoldsNothingUp(t *testing.T) {
+	addr, asked := discovery(t)
+	p := startProcess(t, addr)
+	<-asked
+	const lines = 3000 // of some hundred characters: several times what a pipe holds
+	for range lines {
+		p.Process.Signal(syscall.SIGHUP)
+		time.Sleep(200 * time.Microsecond)
+	}
+	if !p.answers() {
+		t.Error("the node does not answer")
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the node does not end")
+	}
+}
+
+// A log whose reader has gone ends no process.
+func TestLogWhoseReaderHasGoneEndsNothing(t *testing.T) {
+	addr, asked := discovery(t)
+	p := startProcess(t, addr)
+	<-asked
+	p.log.Close()
+	for range 20 {
+		p.Process.Signal(syscall.SIGHUP)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !p.answers() {
+		t.Error("the node does not answer")
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
