Keep a node and a replica running whatever becomes of their log's reader

Cause: slog wrote to standard error while holding its lock, in the loop and in the drain too, and Go ends a process that writes to a broken pipe on standard error.

Change: package asynclog queues 1,024 lines for a goroutine that writes them, drops and counts what finds the queue full, and is waited for half a second at the end; SIGPIPE is ignored. The node and hitchvale use it.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"os"
@@ -15,17 +16,28 @@
 	"syscall"
 	"time"
 
+	"glencart/internal/asynclog"
 	"glencart/internal/node"
 )
 
+// logFlush is how long the end of the process waits for whoever reads its log.
+const logFlush = 500 * time.Millisecond
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "glencart:", err)
+	// The log's reader may go, or read no further: neither may end the node or hold it up.
+	signal.Ignore(syscall.SIGPIPE)
+	out := asynclog.New(os.Stderr)
+	err := run(out)
+	if err != nil {
+		fmt.Fprintln(out, "glencart:", err)
+	}
+	out.Close(logFlush)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(out io.Writer) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // first of all, and to the very end: unheeded, it ends the program
 	path := os.Getenv("BALANCER_CONFIG")
@@ -42,7 +54,7 @@
 	limit(cfg)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(out, nil))
 	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
--- a/cmd/hitchvale/main.go
+++ b/cmd/hitchvale/main.go
@@ -11,8 +11,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
+
+	"glencart/internal/asynclog"
 )
 
 // version is set at build time with -ldflags "-X main.version=...".
@@ -35,10 +38,17 @@
 func usage(err error) error  { return failure{exitUsage, err} }
 func failed(err error) error { return failure{exitFailed, err} }
 
+// logFlush is how long the end of the process waits for whoever reads its log.
+const logFlush = 500 * time.Millisecond
+
 func main() {
+	// The log's reader may go, or read no further: neither may end a replica or hold it up.
+	signal.Ignore(syscall.SIGPIPE)
+	log := asynclog.New(os.Stderr)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	code := run(ctx, os.Args[1:], os.Stdout, log)
 	stop()
+	log.Close(logFlush)
 	os.Exit(code)
 }
 
