--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -112,6 +112,9 @@
 }
 
 func abort(c net.Conn) {
+	if t, ok := c.(*tap); ok {
+		c = t.Conn
+	}
 	if t, ok := c.(*net.TCPConn); ok {
 		t.SetLinger(0)
 	}
@@ -156,7 +159,12 @@
 }
 
 func (p *Proxy) serve(c net.Conn) {
-	defer func() { p.track(c, false); c.Close() }()
+	stop := make(chan struct{})
+	defer func() { p.track(c, false); c.Close(); close(stop) }()
+	near := c
+	if p.onSent != nil {
+		near = newTap(c, p.onSent, stop)
+	}
 	if !p.wait() {
 		return
 	}
@@ -176,19 +184,16 @@
 	}
 	defer func() { p.track(up, false); up.Close() }()
 	var pair sync.WaitGroup
-	pair.Go(func() { p.pipe(up, c, p.onSent) })
-	p.pipe(c, up, nil)
+	pair.Go(func() { p.pipe(up, near) })
+	p.pipe(c, up)
 	pair.Wait()
 }
 
 // pipe copies from src to dst, through the partition and the delay, and half-closes dst at src's end.
-func (p *Proxy) pipe(dst, src net.Conn, seen func([]byte)) {
+func (p *Proxy) pipe(dst, src net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		if n > 0 && seen != nil {
-			seen(buf[:n])
-		}
 		if n > 0 {
 			if !p.wait() {
 				return
