Show real replicas outliving failing disks, a stepped clock and the death of their leader

Need: the promise on lasting folders was tested on a store in the process; here three processes, two of them under the shim with a third of their writes and syncs failing for 4 s and the wall clock an hour back, the leader killed meanwhile.

--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"glencart/internal/shim"
 )
 
 // stopGrace is how long a child has between SIGTERM and SIGKILL at the end of a run.
@@ -33,6 +35,9 @@
 	links        map[string]*Proxy  // by "FROM:TO", such as "node-1:backend-2", "registry-0:registry-1", "client-node-1"
 	fans         []*Fan             // what the proxies between replicas listen on
 
+	// registryPlans are what befalls the system calls of replicas; one without a plan runs as it is.
+	registryPlans map[int]shim.Plan
+
 	chart  chart
 	mu     sync.Mutex
 	acks   []ack // writes the registry acknowledged
@@ -109,6 +114,15 @@
 	return out
 }
 
+// underShim is the command line that runs a program under a plan, or as it is where there is none. The number sets the draws of
+// one child apart from another's.
+func (l *cluster) underShim(plan shim.Plan, number int, argv ...string) []string {
+	if len(plan) == 0 {
+		return argv
+	}
+	return append([]string{l.opts.Hitchvale, "lab", "shim", "--plan", plan.String(), "--seed", fmt.Sprint(l.seed + uint64(number)), "--"}, argv...)
+}
+
 // path is a file of the run's folder.
 func (l *cluster) path(format string, args ...any) string {
 	return filepath.Join(l.opts.Out, fmt.Sprintf(format, args...))
--- a/internal/lab/cluster_test.go
+++ b/internal/lab/cluster_test.go
@@ -3,14 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"glencart/internal/shim"
 )
 
 // testCluster is a cluster of registry replicas for a test, ended with it.
 func testCluster(t *testing.T, registries int) (*cluster, context.Context) {
+	t.Helper()
+	return testClusterWith(t, registries, nil)
+}
+
+// testClusterWith has some of the replicas run under plans.
+func testClusterWith(t *testing.T, registries int, plans map[int]shim.Plan) (*cluster, context.Context) {
 	t.Helper()
 	glencart, hitchvale := binaries(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
@@ -20,6 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.close)
+	c.registryPlans = plans
 	if err := c.startRegistries(ctx, registries); err != nil {
 		t.Fatal(err)
 	}
@@ -101,3 +112,56 @@
 	addr := c.registryAddr[(lead+1)%3]
 	until(t, "a write past a leader that cannot speak", func() bool { return memberCall(ctx, c, addr, "one") == nil })
 }
+
+// Two of three replicas have disks that fail a third of their writes and syncs for a while, and wall clocks that step; the leader
+// is killed in the midst of it. No replica ends by itself, and what was acknowledged is there afterwards at each of them.
+func TestReplicasOnFailingDisksKeepWhatTheyAcknowledged(t *testing.T) {
+	t.Parallel()
+	plan := shim.Plan{{Kind: shim.Disk, From: 2 * time.Second, For: 4 * time.Second, Share: 0.3},
+		{Kind: shim.Clock, From: 3 * time.Second, Step: -time.Hour}}
+	c, ctx := testClusterWith(t, 3, map[int]shim.Plan{0: plan, 1: plan})
+	c.log = slog.New(slog.DiscardHandler)
+	var acknowledged []string
+	killed := false
+	for i, end := 0, time.Now().Add(9*time.Second); time.Now().Before(end); i++ {
+		id := fmt.Sprintf("member-%d", i)
+		within, cancel := context.WithTimeout(ctx, time.Second)
+		if memberCall(within, c, c.registryAddr[i%3], id) == nil {
+			acknowledged = append(acknowledged, id)
+		}
+		cancel()
+		if lead := c.leaderIndex(ctx); !killed && lead >= 0 && time.Until(end) < 5*time.Second {
+			killed = true
+			p := c.procs["registry"][lead]
+			p.Kill()
+			if err := p.Start(c.spawn); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if !killed || len(acknowledged) < 20 {
+		t.Errorf("killed %v, %d writes acknowledged", killed, len(acknowledged))
+	}
+	starts := 0
+	for i, p := range c.procs["registry"] {
+		starts += p.starts()
+		until(t, "what was acknowledged, at "+p.Name, func() bool {
+			var l listAnswer
+			if c.registryCall(ctx, http.MethodGet, c.registryAddr[i], "/registry/instances", nil, &l) != nil {
+				return false
+			}
+			have := map[string]bool{}
+			for _, m := range l.Members {
+				have[m.ID] = true
+			}
+			return !slices.ContainsFunc(acknowledged, func(id string) bool { return !have[id] })
+		})
+		if p.Exited() == nil {
+			t.Errorf("%s has ended", p.Name)
+		}
+	}
+	if starts != 4 {
+		t.Errorf("%d starts of three replicas, of which one was killed", starts)
+	}
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"glencart/internal/shim"
 )
 
 // loadRun is the experiment of nodes between clients and backends: a load while faults are applied on their times.
@@ -141,10 +143,11 @@
 		if err := os.WriteFile(conf, l.nodeConfig(i, addr, view, admin, replicas), 0o644); err != nil {
 			l.log.Error("node configuration not written", "node", name, "error", err)
 		}
-		if !l.s.shimmed(i) {
-			return []string{l.opts.Glencart}
+		var plan shim.Plan
+		if l.s.shimmed(i) {
+			plan = drawPlan(l.s, i)
 		}
-		return []string{l.opts.Hitchvale, "lab", "shim", "--plan", drawPlan(l.s, i).String(), "--seed", fmt.Sprint(l.s.Seed), "--", l.opts.Glencart}
+		return l.underShim(plan, i, l.opts.Glencart)
 	}
 	env := []string{"BALANCER_CONFIG=" + conf, "BALANCER_NAME=" + name, "TMPDIR=" + tmp}
 	_, addr, err := l.startChild(ctx, "node", argv, env, "/health/ready")
