Show that the time a request waits before it is read is not taken off its deadline

Need: an attempt tells its backend at most what the client has left, with 0.15 s of slack. The test fails on this commit: a second in the backlog while accept fails, and the backend is told the whole 9.5 s. Two events that meet: each request by itself is in time.

--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -129,3 +130,41 @@
 		t.Error("the node ended without an error")
 	}
 }
+
+// A request that waits at the node's machine while accept fails has less time left when the node reads it, and its backend is
+// told no more than that.
+func TestDeadlineCountsTheWaitInTheBacklog(t *testing.T) {
+	told := make(chan string, 4)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/api/x" {
+			told <- r.Header.Get("X-Expires-In")
+		}
+		return ok200("done")
+	}))
+	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
+	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failing atomic.Bool
+	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: []error{syscall.ENFILE},
+		fails: func(int64) bool { return failing.Load() }}
+	s := running(t, n)
+	eventually(t, "readiness", s.loop.ready.Load)
+	failing.Store(true)
+	s.dialed(t, "").Close() // ends the call of accept that waits already
+	const waits, waited = 9500 * time.Millisecond, time.Second
+	time.AfterFunc(waited, func() { failing.Store(false) })
+	began := time.Now()
+	do(t, ask(t, s.url+"/api/x", "order"))
+	if time.Since(began) < waited {
+		t.Fatal("accept did not fail for as long")
+	}
+	seconds, err := strconv.ParseFloat(receive(t, "the request", told), 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left := time.Duration(seconds * float64(time.Second)); left > waits-waited+150*time.Millisecond || left < waits-waited-patience/4 {
+		t.Errorf("told %v of %v after %v in the backlog", left, waits, waited)
+	}
+}
