Take what a request has waited at the machine off its deadline

Cause: front.read counted a request's time from when the node had read it. Accept that fails, a full node or one that gets no processor time leave it in the backlog or the socket's buffer, unseen. Change: TCP tells when the last data came (TCP_INFO); when a request has been read whole, what has passed since, from 20 ms on, is taken off. Ruled out: counting from accept, which knows nothing of kept connections, nor of a process that stands still.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -17,6 +17,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"glencart/balance"
@@ -544,7 +545,8 @@
 	case err != nil:
 		return nil, http.StatusRequestTimeout, errors.New("body cut short")
 	case open == nil:
-		// The time of a request counts from its last byte.
+		// The time of a request counts from its last byte, which may have come before the node got to read it.
+		left = max(left-waited(hr), early)
 		r.deadline = time.Now().Add(left - early)
 		if until := f.until.Load(); !until.IsZero() && monotime.At(r.deadline) > until {
 			r.deadline = until.Time()
@@ -560,6 +562,16 @@
 	return r, 0, nil
 }
 
+// waited is how long a request that has been read whole had been at this machine by then.
+func waited(hr *http.Request) time.Duration {
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+		if sc, ok := c.Conn.(syscall.Conn); ok {
+			return age(sc)
+		}
+	}
+	return 0
+}
+
 // endToEnd drops the headers that belong to one connection.
 func endToEnd(h http.Header) {
 	for _, line := range h["Connection"] {
