--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -64,6 +64,9 @@
 	switch f.Kind {
 	case "kill", "power":
 		l.open(role, i, f.Kind)
+		if exited := p.Exited(); exited != nil {
+			l.timers.Go(func() { <-exited; l.gone(role, i) })
+		}
 		return p.Signal(syscall.SIGKILL)
 	case "term":
 		l.tellToEnd(ctx, role, i)
@@ -128,6 +131,7 @@
 		l.open(role, i, "kill")
 	}
 	p.Kill()
+	l.gone(role, i)
 	defer l.shut(role, i)
 	if role == "node" {
 		l.mu.Lock()
@@ -260,6 +264,20 @@
 	l.mu.Unlock()
 }
 
+// gone takes in that a process that was killed has ended.
+func (l *loadRun) gone(role string, i int) {
+	if role != "node" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := range l.windows {
+		if w := &l.windows[k]; w.Node == i && w.Gone == 0 && (w.Kind == "kill" || w.Kind == "power") {
+			w.Gone = time.Now().UnixNano()
+		}
+	}
+}
+
 func (l *loadRun) shut(role string, i int) {
 	if role != "node" {
 		return
