Take down when a child of the soak is kept from a processor

Need: no failure is put down to noise without a trace. Change: the kernel tells of each thread how long it has waited for a processor (schedstat); what a soak's children waited is in report.json, the longest in seeds.jsonl. It excuses nothing.

--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -210,6 +210,10 @@
 	playCtx, stopFaults := context.WithCancel(ctx)
 	var faults sync.WaitGroup
 	faults.Go(func() { l.timeline(playCtx) })
+	var starved starvationLog
+	if l.s.Soak != nil {
+		faults.Go(func() { starved.watch(playCtx, l.all()) })
+	}
 	d.Run(ctx, l.s.Duration.Duration)
 	stopFaults()
 	faults.Wait()
@@ -244,7 +248,7 @@
 		extra = append(extra, l.checkNodeLogs())
 	}
 	r := Summarize(l.s.Name, l.start, h, l.marks, unsent, l.starts(), extra...)
-	r.Propagation = newSpread(l.propagation)
+	r.Propagation, r.Starved = newSpread(l.propagation), starved.all()
 	if err := writeOutcomes(l.path("outcomes.jsonl"), h.Outcomes); err != nil {
 		return r, err
 	}
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -104,6 +106,24 @@
 	return p.started
 }
 
+// pids are the process and its own children, as a program under the shim is one.
+func (p *Proc) pids() []int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	pid := p.cmd.Process.Pid
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", pid, pid))
+	pids := []int{pid}
+	for _, field := range strings.Fields(string(text)) {
+		if child, err := strconv.Atoi(field); err == nil {
+			pids = append(pids, child)
+		}
+	}
+	return pids
+}
+
 // age is how long the current run of the process has lasted.
 func (p *Proc) age() time.Duration {
 	p.mu.Lock()
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -48,6 +48,8 @@
 	Propagation Spread `json:"propagation_ms"`
 	// Duty holds a lease scenario's figures; such a run has no load, so its only plot is of takeovers.
 	Duty *DutyFigures `json:"duty,omitempty"`
+	// Starved is when children of a soak were kept from a processor by a crowded machine. It excuses nothing.
+	Starved []starvation `json:"starved,omitempty"`
 	// Timeline is what each process did, drawn as text; it is written to a file of its own.
 	Timeline string `json:"-"`
 }
--- a/internal/lab/soak.go
+++ b/internal/lab/soak.go
@@ -169,7 +169,9 @@
 	Seed   uint64         `json:"seed"`
 	Passed bool           `json:"passed"`
 	Counts map[string]int `json:"counts"`
-	Error  string         `json:"error,omitempty"`
+	// StarvedMs is the longest that a thread of a child waited for a processor within a tenth of a second; 0: nothing of note.
+	StarvedMs int64  `json:"starved_ms"`
+	Error     string `json:"error,omitempty"`
 }
 
 // runSoak plays a soak's seeds, each in a folder of its own, and sums them up. A seed that could not be played ends the soak
@@ -190,6 +192,9 @@
 		s.Faults = drawSoak(s)
 		r, err := runLoad(ctx, s, one)
 		line := seedLine{Seed: s.Seed, Passed: r.Passed, Counts: r.Counts}
+		for _, st := range r.Starved {
+			line.StarvedMs = max(line.StarvedMs, st.For.Milliseconds())
+		}
 		if err != nil {
 			line.Error, line.Passed = err.Error(), false
 		}
