--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -61,7 +61,7 @@
 	if hc == nil {
 		hc = &http.Client{Timeout: 2 * time.Second}
 	}
-	var last error = errors.New("no replica named")
+	last := errors.New("no replica named")
 	for _, addr := range c.Replicas {
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(text))
 		if err != nil {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -46,7 +46,6 @@
 // Here a request goes out whole in one Write. net/http still words it and reads the answer.
 type exchanges struct {
 	pool     *pool
-	host     string
 	inline   bool             // answers carry load reports
 	written  *atomic.Int64    // counts the attempts that were written whole
 	complain *lograte.Limited // of load reports
