Show that one failed read of the record of maintenance puts all backends back

Need: what a node's state folder has taken on is still owed when calls fail for a moment. The test fails on this commit in all three ways: a process that starts while a read fails (ENFILE) takes nothing for out, and marks the file as seen, so it is never read again until it changes: backends taken out by hand get traffic; a process that follows misses a change likewise; a change made while the read fails replaces the record, and puts every other backend back for all processes.

--- a/internal/node/cordon.go
+++ b/internal/node/cordon.go
@@ -41,10 +41,11 @@
 	path string
 	log  *slog.Logger
 	seen os.FileInfo // the file that was read last
+	read func(path string) ([]byte, error)
 }
 
 func newCordonFile(dir, name string, log *slog.Logger) *cordonFile {
-	return &cordonFile{path: filepath.Join(dir, "glencart-"+plain(name)+".cordons"), log: log}
+	return &cordonFile{path: filepath.Join(dir, "glencart-"+plain(name)+".cordons"), log: log, read: os.ReadFile}
 }
 
 // plain makes a name fit for a file.
@@ -59,7 +60,7 @@
 
 // load reads the file. A file that is missing holds nothing, and neither does one that can't be read.
 func (f *cordonFile) load() (cordons, error) {
-	text, err := os.ReadFile(f.path)
+	text, err := f.read(f.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return cordons{}, nil
 	}
--- a/internal/node/cordon_test.go
+++ b/internal/node/cordon_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -163,3 +165,55 @@
 		t.Error("changed under another's lock")
 	}
 }
+
+// failingRead fails a number of reads, as a process does that is short of descriptors, or a disk, and then reads.
+func failingRead(fails int64) func(string) ([]byte, error) {
+	var reads atomic.Int64
+	return func(path string) ([]byte, error) {
+		if reads.Add(1) <= fails {
+			return nil, syscall.ENFILE
+		}
+		return os.ReadFile(path)
+	}
+}
+
+// A record that can't be read for a moment still binds: a process that starts then leaves out what is out, one that follows hears
+// of a change, and a change never replaces what could not be read.
+func TestRecordThatCannotBeReadForAMoment(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	dir := t.TempDir()
+	out, err := newCordonFile(dir, "n1", quiet()).change(ctx, cordons{}, "a", true, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	starts := newCordonFile(dir, "n1", quiet())
+	starts.read = failingRead(3)
+	if c := starts.start(); !c.Backends["a"].Out {
+		t.Errorf("a process that starts knows %+v", c)
+	}
+	follows := newCordonFile(dir, "n1", quiet())
+	follows.start()
+	follows.read = failingRead(3)
+	if _, err := newCordonFile(dir, "n1", quiet()).change(ctx, out, "b", true, 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	heard := make(chan cordons, 16)
+	go follows.follow(ctx, func(c cordons) { heard <- c })
+	select {
+	case c := <-heard:
+		if !c.Backends["b"].Out {
+			t.Errorf("heard %+v", c)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("a process that follows does not hear of the change")
+	}
+	changes := newCordonFile(dir, "n1", quiet())
+	changes.read = failingRead(1)
+	if _, err := changes.change(ctx, cordons{}, "c", true, 3*time.Second); err == nil {
+		t.Error("a change took the place of a record that could not be read")
+	}
+	if c, err := newCordonFile(dir, "n1", quiet()).load(); err != nil || !c.Backends["a"].Out || !c.Backends["b"].Out {
+		t.Errorf("the record has %+v, %v", c, err)
+	}
+}
