Let the soak replace nodes by a second process among its troubles

Need: the hand-over is a path of its own for what a node owes, and no seed crossed it with stops, reloads and failing calls. A key of [soak], upgrades, draws it too; without the key a seed draws what it drew before.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -41,7 +41,7 @@
 		l.disc.SetDown(true)
 		l.later(ctx, f.For.Duration, func() { l.disc.SetDown(false) })
 		return nil
-	case "kill", "term", "power", "pause", "restart", "drain", "fill", "hup", "hold", "rejoin":
+	case "kill", "term", "power", "pause", "restart", "drain", "fill", "hup", "hold", "rejoin", "upgrade":
 		var errs []error
 		for _, t := range f.Target {
 			errs = append(errs, l.applyProc(ctx, f, t))
@@ -88,6 +88,8 @@
 		return l.moveDiscovery(ctx, i)
 	case "rejoin":
 		return l.rejoin(ctx, i)
+	case "upgrade":
+		return l.upgrade(ctx, i)
 	case "restart":
 		return l.restart(ctx, role, i)
 	case "drain":
@@ -180,6 +182,36 @@
 	return nil
 }
 
+// upgrade has a second process of a node take over from the one that runs, which is told to end once the other is ready. That
+// excuses nothing.
+func (l *loadRun) upgrade(ctx context.Context, i int) error {
+	old := l.procs["node"][i]
+	if old.Exited() == nil {
+		return nil // there is nothing to take over
+	}
+	_, admin := l.space.take()
+	p := &Proc{Name: old.Name, argv: old.argv, env: append(slices.Clone(old.env), "BALANCER_ADMIN="+admin), log: old.log}
+	if err := p.Start(l.spawn); err != nil {
+		return err
+	}
+	l.procs["node"][i] = p
+	l.procs["replaced"] = append(l.procs["replaced"], old)
+	l.timers.Go(func() {
+		if err := waitReady(ctx, p, admin, "/admin/health"); err != nil {
+			l.log.Info("no upgrade", "component", "lab", "node", p.Name, "error", err)
+			return // it was ended first
+		}
+		old.Signal(syscall.SIGTERM)
+		select {
+		case <-ctx.Done():
+		case <-old.Exited():
+		case <-time.After(l.s.Load.Deadline.Duration + killAfter):
+			old.Kill()
+		}
+	})
+	return nil
+}
+
 // rejoin has a backend come back as a new process, which is listed as one that has just started.
 func (l *loadRun) rejoin(ctx context.Context, j int) error {
 	p := l.procs["backend"][j]
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -107,6 +107,7 @@
 //	drain                               backend-N set draining in discovery
 //	fill                                node-N: Bytes written into its temporary folder
 //	hup                                 node-N: discovery moves for it, its file names the new address, SIGHUP
+//	upgrade                             node-N: a second process takes over, and the first is told to end
 //	hold (For)                          node-N: SIGSTOP then SIGCONT, so short that it excuses nothing
 //	rejoin                              backend-N: killed, started again and listed as ready, just started
 //	outage (For)                        discovery: it resets every call
@@ -127,7 +128,7 @@
 
 var faultKinds = map[string]bool{"kill": true, "term": true, "pause": true, "restart": true, "power": true,
 	"partition": true, "delay": true, "reset": true, "drop": true, "drain": true, "fill": true,
-	"hup": true, "hold": true, "rejoin": true, "outage": true}
+	"hup": true, "hold": true, "upgrade": true, "rejoin": true, "outage": true}
 
 // LoadScenario reads and checks a scenario file. Errors name the file, the line and the key.
 func LoadScenario(path string) (Scenario, error) {
@@ -253,7 +254,7 @@
 	if n := s.count(role); i >= n {
 		return fmt.Errorf("%q: there are %d of %s", t, n, role)
 	}
-	if (kind == "hup" || kind == "hold") && role != "node" || kind == "rejoin" && (role != "backend" || s.Registries > 0) {
+	if (kind == "hup" || kind == "hold" || kind == "upgrade") && role != "node" || kind == "rejoin" && (role != "backend" || s.Registries > 0) {
 		return fmt.Errorf("%q: %s does not apply to a %s here", t, kind, role)
 	}
 	if (kind == "drain" && role != "backend") || (kind == "fill" && role == "backend") {
--- a/internal/lab/soak.go
+++ b/internal/lab/soak.go
@@ -23,6 +23,8 @@
 	Every   Duration `toml:"every"`   // from one bout of troubles to the next
 	Bout    int      `toml:"bout"`    // troubles in a bout
 	Shimmed float64  `toml:"shimmed"` // the share of nodes that run under the shim
+	// Upgrades has nodes replaced by a second process among the troubles.
+	Upgrades bool `toml:"upgrades"`
 }
 
 // boutSpan is the time within which the troubles of a bout begin: all of them last longer.
@@ -98,7 +100,13 @@
 		return func(f *Fault) { f.For.Duration = span }
 	}
 	stopWithin := d.s.Load.Deadline.Duration + killAfter
-	switch d.rng.IntN(11) {
+	kinds := 11
+	if d.s.Soak.Upgrades {
+		kinds++
+	}
+	switch d.rng.IntN(kinds) {
+	case 11:
+		d.add(at, "upgrade", node)
 	case 0:
 		d.add(at, "term", node)
 		d.add(at+stopWithin, "restart", node)
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -53,6 +53,7 @@
 		t.Fatal(err)
 	}
 	kinds := map[string]bool{}
+	s.Soak.Upgrades = true
 	for seed := range uint64(100) {
 		s.Seed = seed
 		faults := drawSoak(s)
@@ -72,7 +73,7 @@
 			t.Errorf("seed %d: %v", seed, err)
 		}
 	}
-	for _, kind := range []string{"term", "kill", "restart", "hup", "drain", "rejoin", "pause", "hold", "outage", "partition", "delay", "reset"} {
+	for _, kind := range []string{"term", "kill", "restart", "hup", "drain", "rejoin", "pause", "hold", "outage", "partition", "delay", "reset", "upgrade"} {
 		if !kinds[kind] {
 			t.Errorf("no %s in 100 seeds", kind)
 		}
