--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -13,8 +13,6 @@
 	"net/http"
 	"net/url"
 	"os"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +20,6 @@
 	"glencart/internal/accept"
 	"glencart/internal/lograte"
 	"glencart/internal/monotime"
-	"glencart/internal/settings"
 )
 
 const (
@@ -384,49 +381,3 @@
 			done(r)
 		})
 }
-
-// report reads a load report and complains, at a bounded rate, of one that can't be read.
-func (x *exchanges) report(text string) balance.Load {
-	l, err := parseReport(text)
-	if err != nil {
-		x.complain.Warn("malformed load report", "error", err)
-	}
-	return l
-}
-
-// reportNames are the names of the values on sockets where they differ from those of the settings.
-var reportNames = map[string]string{"inflight": "active", "queue": "waiting", "util": "cpu",
-	"latency_ms": "avg_ms", "qps": "rps", "eps": "err_rps"}
-
-// parseReport reads "TEXT name=value, name=value". Values of other names are skipped; one malformed value
-// spoils the report.
-func parseReport(text string) (balance.Load, error) {
-	var l balance.Load
-	into := [...]*float64{&l.Active, &l.Waiting, &l.CPU, &l.AvgMs, &l.RPS, &l.ErrRPS}
-	text = strings.TrimSpace(text)
-	text = strings.TrimSpace(strings.TrimPrefix(text, "TEXT"))
-	if text == "" {
-		return l, nil // a backend that has just started has none yet
-	}
-	for pair := range strings.SplitSeq(text, ",") {
-		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
-		if !ok {
-			return balance.Load{}, fmt.Errorf("%.40q is not name=value", pair)
-		}
-		if n, ok := reportNames[name]; ok {
-			name = n
-		}
-		for i, n := range settings.LoadNames {
-			if n != name {
-				continue
-			}
-			v, err := strconv.ParseFloat(value, 64)
-			if err != nil || !(v >= 0 && v < 1e9) {
-				return balance.Load{}, fmt.Errorf("%s: %.40q is not a figure", name, value)
-			}
-			*into[i] = v
-			l.Has |= 1 << i
-		}
-	}
-	return l, nil
-}
