--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -31,17 +31,23 @@
 	syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH,
 	syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EINTR}
 
-// A node whose calls of accept fail for a moment, with whatever error, goes on serving all that comes.
-func TestServesWhileAcceptFails(t *testing.T) {
-	text := listText(1, true, listed{"s", echo(t).Addr().String(), "ready", 0})
+// startFlaky starts a node whose calls of accept fail with these errors, in turn, where fails says so.
+func startFlaky(t *testing.T, backend string, errs []error, fails func(call int64) bool) *started {
+	t.Helper()
+	text := listText(1, true, listed{"s", backend, "ready", 0})
 	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
-	flaky := &flakyListener{Listener: n.listener.Listener, errs: passingErrors, fails: func(call int64) bool { return call%3 != 1 }}
-	n.listener.Listener = flaky
+	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: errs, fails: fails}
 	s := running(t, n)
 	eventually(t, "readiness", s.loop.ready.Load)
+	return s
+}
+
+// A node whose calls of accept fail for a moment, with whatever error, goes on serving all that comes.
+func TestServesWhileAcceptFails(t *testing.T) {
+	s := startFlaky(t, echo(t).Addr().String(), passingErrors, func(call int64) bool { return call%3 != 1 })
 	began := time.Now()
 	for range 2 * len(passingErrors) {
 		if resp, _ := do(t, ask(t, s.url+"/api/x", "order")); resp.StatusCode != http.StatusOK {
@@ -61,16 +67,8 @@
 // What waits in the backlog when a node is told to end, because accept fails just then, is served before the listener is
 // closed.
 func TestLeavingServesTheBacklogOnceAcceptWorksAgain(t *testing.T) {
-	text := listText(1, true, listed{"s", echo(t).Addr().String(), "ready", 0})
-	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
 	var failing atomic.Bool
-	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: []error{syscall.ENFILE},
-		fails: func(int64) bool { return failing.Load() }}
-	s := running(t, n)
-	eventually(t, "readiness", s.loop.ready.Load)
+	s := startFlaky(t, echo(t).Addr().String(), []error{syscall.ENFILE}, func(int64) bool { return failing.Load() })
 	failing.Store(true)
 	s.dialed(t, "").Close() // ends the call of accept that waits already
 	s.stop()
@@ -103,16 +101,8 @@
 		<-hold
 		return ok200("done")
 	}))
-	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
-	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
 	var lost atomic.Bool
-	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: []error{syscall.EBADF},
-		fails: func(int64) bool { return lost.Load() }}
-	s := running(t, n)
-	eventually(t, "readiness", s.loop.ready.Load)
+	s := startFlaky(t, b.Addr().String(), []error{syscall.EBADF}, func(int64) bool { return lost.Load() })
 	answered := make(chan string, 1)
 	go func() {
 		_, body := do(t, ask(t, s.url+"/api/x", "order"))
@@ -141,16 +131,8 @@
 		}
 		return ok200("done")
 	}))
-	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
-	n, err := New(testConfig(t, newRegistry(t, text).addr, text), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
 	var failing atomic.Bool
-	n.listener.Listener = &flakyListener{Listener: n.listener.Listener, errs: []error{syscall.ENFILE},
-		fails: func(int64) bool { return failing.Load() }}
-	s := running(t, n)
-	eventually(t, "readiness", s.loop.ready.Load)
+	s := startFlaky(t, b.Addr().String(), []error{syscall.ENFILE}, func(int64) bool { return failing.Load() })
 	failing.Store(true)
 	s.dialed(t, "").Close() // ends the call of accept that waits already
 	const waits, waited = 9500 * time.Millisecond, time.Second
