Let the soak's clients reach the nodes themselves, and watch the lab's own waits

Change: a soak has no faults of the clients' links, so its clients connect to the nodes; the lab's own waits, and those of processes that take over, are taken down as well. A race between a link's first connection and its watcher is mended (the race detector found it in the short soak).

--- a/internal/lab/attempts.go
+++ b/internal/lab/attempts.go
@@ -24,7 +24,7 @@
 
 // watch has a link take down the attempts that begin on it.
 func (l *attemptLog) watch(p *Proxy, node, backend string) {
-	p.onSent = func(piece []byte) {
+	p.watch(func(piece []byte) {
 		trace, ok := headerValue(piece, "X-Trace-Id: ")
 		if !ok {
 			return // no head, or a probe's
@@ -35,7 +35,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.attempts = append(l.attempts, a)
-	}
+	})
 }
 
 // all are the attempts so far.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -194,8 +194,10 @@
 	if err := p.Start(l.spawn); err != nil {
 		return err
 	}
+	l.mu.Lock()
 	l.procs["node"][i] = p
 	l.procs["replaced"] = append(l.procs["replaced"], old)
+	l.mu.Unlock()
 	l.timers.Go(func() {
 		if err := waitReady(ctx, p, admin, "/admin/health"); err != nil {
 			l.log.Info("no upgrade", "component", "lab", "node", p.Name, "error", err)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -212,7 +212,7 @@
 	faults.Go(func() { l.timeline(playCtx) })
 	var starved starvationLog
 	if l.s.Soak != nil {
-		faults.Go(func() { starved.watch(playCtx, l.all()) })
+		faults.Go(func() { starved.watch(playCtx, l.watched) })
 	}
 	d.Run(ctx, l.s.Duration.Duration)
 	stopFaults()
@@ -255,9 +255,25 @@
 	return r, r.Write(l.opts.Out)
 }
 
-// newClients makes the clients' side of each node.
+// watched are the processes of a soak by name, the lab's own among them: what it takes down late it judges wrongly.
+func (l *loadRun) watched() map[string][]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pids := map[string][]int{"lab": {os.Getpid()}}
+	for _, p := range l.all() {
+		pids[p.Name] = append(pids[p.Name], p.pids()...)
+	}
+	return pids
+}
+
+// newClients makes the clients' side of each node. A soak has no faults of the clients' links, and its clients reach the nodes
+// themselves: a proxy that gets no processor time would pass a client's leaving on late.
 func (l *loadRun) newClients() []*client {
 	for i := range l.s.Nodes {
+		if l.s.Soak != nil {
+			l.clients = append(l.clients, &client{target: l.listenAddr[i]})
+			continue
+		}
 		link := l.links[fmt.Sprintf("client-node-%d", i)]
 		l.clients = append(l.clients, &client{target: link.Addr(), link: link})
 	}
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -17,7 +17,6 @@
 type Proxy struct {
 	ln     net.Listener // nil: a fan accepts for it
 	target string
-	onSent func(piece []byte) // sees each piece that the near side sends; nil: nobody does. Set before the link is used
 
 	mu      sync.Mutex
 	conns   map[net.Conn]struct{}
@@ -26,7 +25,8 @@
 	drop    float64
 	rng     *rand.Rand
 	closed  bool
-	refused map[string]bool // by the near side's address: connections that the far side refused
+	onSent  func(piece []byte) // sees each piece that the near side sends; nil: nobody does
+	refused map[string]bool    // by the near side's address: connections that the far side refused
 	workers sync.WaitGroup
 }
 
@@ -103,6 +103,19 @@
 	p.workers.Wait()
 }
 
+// watch has a function see each piece that the near side of later connections sends.
+func (p *Proxy) watch(seen func(piece []byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onSent = seen
+}
+
+func (p *Proxy) watcher() func([]byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.onSent
+}
+
 // refusedFor tells whether the far side could not be connected to for the connection from an address. It is so before that
 // connection ends.
 func (p *Proxy) refusedFor(addr string) bool {
@@ -162,8 +175,8 @@
 	stop := make(chan struct{})
 	defer func() { p.track(c, false); c.Close(); close(stop) }()
 	near := c
-	if p.onSent != nil {
-		near = newTap(c, p.onSent, stop)
+	if seen := p.watcher(); seen != nil {
+		near = newTap(c, seen, stop)
 	}
 	if !p.wait() {
 		return
--- a/internal/lab/starved.go
+++ b/internal/lab/starved.go
@@ -31,8 +31,8 @@
 	found []starvation
 }
 
-// watch looks at the children until ctx ends.
-func (s *starvationLog) watch(ctx context.Context, children []*Proc) {
+// watch looks at the processes that it is told of until ctx ends.
+func (s *starvationLog) watch(ctx context.Context, processes func() map[string][]int) {
 	waited := map[string]time.Duration{} // by the thread's file
 	tick := time.NewTicker(starvedLook)
 	defer tick.Stop()
@@ -42,16 +42,16 @@
 			return
 		case <-tick.C:
 		}
-		for _, p := range children {
-			s.look(p, waited)
+		for name, pids := range processes() {
+			s.look(name, pids, waited)
 		}
 	}
 }
 
-// look takes down how long a child's threads have waited since the last look.
-func (s *starvationLog) look(p *Proc, waited map[string]time.Duration) {
+// look takes down how long the threads of a child's processes have waited since the last look.
+func (s *starvationLog) look(name string, pids []int, waited map[string]time.Duration) {
 	var longest time.Duration
-	for _, pid := range p.pids() {
+	for _, pid := range pids {
 		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 		for _, file := range files {
 			total, ok := runDelay(file)
@@ -66,7 +66,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.found = append(s.found, starvation{Child: p.Name, At: time.Now(), For: longest})
+	s.found = append(s.found, starvation{Child: name, At: time.Now(), For: longest})
 }
 
 // runDelay is how long a thread has waited for a processor in all.
