Show that what waits for an heir that dies is reset by the old process that leaves

Until 8.73 s, when the first process ended, clients were accepted by the kernel for a listener that both had and nobody took from: 14 requests reset. The test fails on this commit: connection reset.

--- a/internal/node/handing_test.go
+++ b/internal/node/handing_test.go
@@ -170,6 +170,43 @@
 	})
 }
 
+// A new process that ends while the old one, which was told to end, still leaves: what waits for the one that has gone is
+// served by the old one, before it closes the listener that both had.
+func TestHeirThatEndsWhileTheOldProcessLeaves(t *testing.T) {
+	dir := t.TempDir()
+	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
+	old := process(t, dir, "", list)
+	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
+	cfg := old.cfg
+	cfg.Listen = old.Addr().String()
+	h := newHanding(cfg, quiet())
+	eventually(t, "the old process hands over", func() bool { h.claim(); return h.inherited != nil })
+	if _, _, err := h.take(); err != nil {
+		t.Fatal(err)
+	}
+	old.stop()
+	eventually(t, "the old process leaves", old.front.leaving.Load)
+	answered := make(chan int, 1)
+	go func() {
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(ask(t, old.url+"/x", "read"))
+		if err != nil {
+			t.Error(err)
+			answered <- 0
+			return
+		}
+		resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	time.Sleep(50 * time.Millisecond) // it waits in the backlog
+	h.close()
+	if status := receive(t, "the answer", answered); status != http.StatusOK {
+		t.Errorf("answered %d", status)
+	}
+	if err := receive(t, "the end", old.err); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // An old process that is not there, or does not answer, keeps no new one from serving.
 func TestStartsWithoutAnAnswer(t *testing.T) {
 	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
