Take the node back from an heir that ends, also while the old process leaves

Cause: handOver gave up what an heir that had gone left behind once the old process was leaving; it went on resting until it ended, and closed a listener whose backlog had nobody. Change: the old process accepts again whenever its heir goes, with the time by which a node that leaves has to have answered; the drain waits for an empty backlog as in any other case.

--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -301,7 +301,9 @@
 	if err == nil {
 		err = n.tellHolds(ctx, c, &done)
 	}
-	if !done && ctx.Err() == nil && !n.front.leaving.Load() {
+	if !done && ctx.Err() == nil {
+		// Also while this process leaves: the listener is both processes', and what waits there has nobody else.
+		n.front.until.Store(n.answerBy.Load())
 		n.handed(false)
 		n.allow(holds{})
 		n.log.Error("the process that took over has gone: serving again", "error", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,8 @@
 	handing  *handing      // likewise
 	fleet    *fleetPart    // where the configuration has a part in the fleet
 
-	firstList time.Duration // how long Run waits for a pushed list before the node is ready without
+	answerBy  monotime.Atomic // by when a node that leaves, and is not replaced, has to have answered; zero: it does not leave
+	firstList time.Duration   // how long Run waits for a pushed list before the node is ready without
 }
 
 // New returns a node that is ready to run.
@@ -249,8 +250,9 @@
 func (n *Node) leave(srv *http.Server) error {
 	n.log.Info("leaving")
 	longest := longestDeadline(n.cfg.Settings)
+	n.answerBy.Store(monotime.Now().Add(lameDuck + min(longest, killedAfter)))
 	if !n.front.handed.Load() {
-		n.front.until.Store(monotime.Now().Add(lameDuck + min(longest, killedAfter)))
+		n.front.until.Store(n.answerBy.Load())
 	}
 	n.front.leaving.Store(true)
 	time.Sleep(lameDuck)
