--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -196,6 +196,7 @@
 	}
 	l.mu.Lock()
 	l.procs["node"][i] = p
+	delete(l.toldToEnd, i) // that was the old one
 	l.procs["replaced"] = append(l.procs["replaced"], old)
 	l.mu.Unlock()
 	l.timers.Go(func() {
