--- a/internal/node/handing_test.go
+++ b/internal/node/handing_test.go
@@ -142,17 +142,24 @@
 	}
 }
 
-// A new process that ends before the old one is told to gives the node back.
-func TestHeirThatEndsGivesBack(t *testing.T) {
+// handingOver starts a process with one backend, and claims its listener as the next process does.
+func handingOver(t *testing.T) (old *started, h *handing) {
+	t.Helper()
 	dir := t.TempDir()
 	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
-	old := process(t, dir, "", list)
+	old = process(t, dir, "", list)
 	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
 	cfg := old.cfg
 	cfg.Listen = old.Addr().String()
-	h := newHanding(cfg, quiet())
+	h = newHanding(cfg, quiet())
 	eventually(t, "the old process hands over", func() bool { h.claim(); return h.inherited != nil })
-	if got, ok := h.list(cfg); !ok || got.Members[0].ID != "s-a" || got.Revision != 1 {
+	return old, h
+}
+
+// A new process that ends before the old one is told to gives the node back.
+func TestHeirThatEndsGivesBack(t *testing.T) {
+	old, h := handingOver(t)
+	if got, ok := h.list(old.cfg); !ok || got.Members[0].ID != "s-a" || got.Revision != 1 {
 		t.Errorf("list %+v", got)
 	}
 	if known, left, err := h.take(); err != nil || left.Backends < keepBackends || len(known.IDs) != 1 || known.IDs[0] != "s-a" {
@@ -173,14 +180,7 @@
 // A new process that ends while the old one, which was told to end, still leaves: what waits for the one that has gone is
 // served by the old one, before it closes the listener that both had.
 func TestHeirThatEndsWhileTheOldProcessLeaves(t *testing.T) {
-	dir := t.TempDir()
-	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
-	old := process(t, dir, "", list)
-	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
-	cfg := old.cfg
-	cfg.Listen = old.Addr().String()
-	h := newHanding(cfg, quiet())
-	eventually(t, "the old process hands over", func() bool { h.claim(); return h.inherited != nil })
+	old, h := handingOver(t)
 	if _, _, err := h.take(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -1,15 +1,12 @@
 package registry
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -28,111 +25,6 @@
 // applyWithin bounds how long a write waits to be committed and applied.
 const applyWithin = 5 * time.Second
 
-// fsm is the raft state machine over State: it applies committed commands and tells waiting watches.
-type fsm struct {
-	mu     sync.RWMutex
-	st     *State
-	notify chan struct{} // closed and replaced at each change
-}
-
-func (f *fsm) Apply(l *raft.Log) any {
-	if l.Type != raft.LogCommand {
-		return nil
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c, err := f.st.ParseCommand(l.Data)
-	if err != nil {
-		// Written by a replica of ours, so never expected; refused the same on every replica of one version.
-		return Result{Revision: f.st.Revision, Err: fmt.Errorf("log entry %d: %w", l.Index, err)}
-	}
-	r := f.st.Apply(c)
-	f.broadcast()
-	return r
-}
-
-func (f *fsm) broadcast() {
-	close(f.notify)
-	f.notify = make(chan struct{})
-}
-
-func (f *fsm) Snapshot() (raft.FSMSnapshot, error) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	text, err := f.st.Encode()
-	if err != nil {
-		return nil, err
-	}
-	return snapshot(text), nil
-}
-
-func (f *fsm) Restore(rc io.ReadCloser) error {
-	defer rc.Close()
-	text, err := io.ReadAll(rc)
-	if err != nil {
-		return fmt.Errorf("snapshot: %w", err)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err := f.st.Decode(text); err != nil {
-		return err
-	}
-	f.broadcast()
-	return nil
-}
-
-// read runs fn on the state under the read lock, and gives the channel that the next change closes.
-func (f *fsm) read(fn func(*State)) <-chan struct{} {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	fn(f.st)
-	return f.notify
-}
-
-// streamLayer is raft's TCP stream layer over a listener that the caller opened (so a test may use port 0).
-type streamLayer struct {
-	net.Listener
-	from       net.Addr // what peers are dialled from; nil: the system picks
-	advertised net.Addr // what peers dial
-}
-
-func newStreamLayer(cfg Config, ln net.Listener) streamLayer {
-	s := streamLayer{Listener: ln, advertised: ln.Addr()}
-	if host, err := netip.ParseAddr(cfg.RaftFrom); err == nil {
-		s.from = net.TCPAddrFromAddrPort(netip.AddrPortFrom(host, 0))
-	}
-	if addr, err := netip.ParseAddrPort(cfg.Raft); err == nil && cfg.RaftListen != "" {
-		s.advertised = net.TCPAddrFromAddrPort(addr)
-	}
-	return s
-}
-
-func (s streamLayer) Addr() net.Addr { return s.advertised }
-
-func (s streamLayer) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	return (&net.Dialer{Timeout: timeout, LocalAddr: s.from}).Dial("tcp", string(addr))
-}
-
-// raftLog passes raft's own lines (hclog, JSON) into the replica's logger, one record a line.
-type raftLog struct{ log *slog.Logger }
-
-func (w raftLog) Write(p []byte) (int, error) {
-	w.log.Warn("raft", "line", json.RawMessage(bytes.TrimSpace(p)))
-	return len(p), nil
-}
-
-type snapshot []byte
-
-func (s snapshot) Persist(sink raft.SnapshotSink) error {
-	if _, err := sink.Write(s); err != nil {
-		sink.Cancel()
-		return err
-	}
-	return sink.Close()
-}
-
-func (snapshot) Release() {}
-
 // Replica is one member of the registry's raft cluster with its state machine and TTL keeper.
 type Replica struct {
 	cfg     Config
