Turn raft's pipelining of appends off, which a follower's failed append could block for good

Seen: TestReplicasOutliveFailingDisks, under -race -count=20 beside other work, waited in vain for one replica to catch up and then for the leader's Close: 20 minutes. Its stacks: the leader's pipelineReplicate stands in netPipeline.AppendEntries, decodeResponses on the channel that pipelineDecode reads, and pipelineDecode has gone: it ends at the first append that a follower did not acknowledge, as one does whose disk fails. With two calls in flight both channels are unbuffered, so nobody ever moves. Change: one call in flight (MaxRPCsInFlight 1), for which raft leaves the pipeline out. The failing test was there already. Ruled out: diskStore, no goroutine stands in it; the accept loop, which waits for connections.

--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -22,6 +22,10 @@
 	"glencart/internal/rota"
 )
 
+// oneRPC turns raft's pipelining of appends off. Where a follower fails an append, as one does whose disk fails, the leader's
+// pipeline ends for its reader alone; its sender can wait for that reader for ever, and the follower hears nothing more.
+const oneRPC = 1
+
 // applyWithin bounds how long a write waits to be committed and applied.
 const applyWithin = 5 * time.Second
 
@@ -104,7 +108,7 @@
 		return err
 	}
 	r.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: newStreamLayer(r.cfg, retrying(ln, r.log)), MaxPool: 3,
-		Timeout: 5 * time.Second, Logger: hl})
+		Timeout: 5 * time.Second, Logger: hl, MaxRPCsInFlight: oneRPC})
 	rc := raft.DefaultConfig()
 	t := r.cfg.Timing
 	rc.LocalID, rc.Logger = raft.ServerID(r.cfg.ID), hl
