Log failed calls of accept in one way, the hand-over's at a bounded rate too

Three listeners made the same complaint each for itself, and the hand-over's forgot the bound on its rate. accept.LogTo serves all four and names the listener. Nothing else changes. internal/accept, admin and registry pass, of internal/node the tests of accept, heirs and replacement; staticcheck clean.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -4,12 +4,15 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"glencart/internal/lograte"
 )
 
 // retryLeast and retryMost bound the wait after a failed call, which doubles from one to the other. The longest is far below
@@ -25,6 +28,14 @@
 	return slices.ContainsFunc(lost, func(target error) bool { return errors.Is(err, target) })
 }
 
+// LogTo returns a function for Retry.Failed and NewListener that logs errors, with what the listener is for, at a bounded rate.
+func LogTo(log *slog.Logger, listener string) func(error) {
+	complain := &lograte.Limited{Log: log}
+	return func(err error) {
+		complain.Warn("accepting a connection failed: trying again", "listener", listener, "error", err)
+	}
+}
+
 // Retry calls accept until it succeeds. The zero value is ready. It may be used by one goroutine at a time; Failing may be
 // called from any.
 type Retry struct {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"glencart/internal/accept"
-	"glencart/internal/lograte"
 )
 
 const (
@@ -59,8 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	complain := &lograte.Limited{Log: log}
-	retrying := accept.NewListener(l, func(err error) { complain.Warn("second address: accepting failed, trying again", "error", err) })
+	retrying := accept.NewListener(l, accept.LogTo(log, "second address"))
 	s := &Server{listener: newListener(retrying, Conns), http: &http.Server{
 		Handler: handler(n, log), ReadHeaderTimeout: callWithin, ReadTimeout: callWithin, WriteTimeout: answerWithin,
 		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"glencart/internal/accept"
-	"glencart/internal/lograte"
 )
 
 // limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
@@ -44,8 +43,7 @@
 
 // logFailures has the listener log, at a bounded rate, failed calls of accept. It is called before the first Accept.
 func (l *boundedListener) logFailures(log *slog.Logger) {
-	complain := &lograte.Limited{Log: log}
-	l.retry.Failed = func(err error) { complain.Warn("accepting a connection failed: trying again", "error", err) }
+	l.retry.Failed = accept.LogTo(log, "clients")
 }
 
 // held is how many connections are open.
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -208,7 +208,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	heirs := accept.NewListener(l, func(err error) { n.log.Warn("accepting the next process failed: trying again", "error", err) })
+	heirs := accept.NewListener(l, accept.LogTo(n.log, "hand-over"))
 	for ctx.Err() == nil {
 		accepted, err := heirs.Accept()
 		if err != nil {
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"glencart/internal/accept"
-	"glencart/internal/lograte"
 	"glencart/internal/machine"
 	"glencart/internal/problem"
 )
@@ -97,8 +96,7 @@
 
 // retrying has a listener wait out errors of accept that pass, and log them at a bounded rate.
 func retrying(ln net.Listener, log *slog.Logger) net.Listener {
-	complain := &lograte.Limited{Log: log}
-	return accept.NewListener(ln, func(err error) { complain.Warn("accepting a connection failed: trying again", "error", err) })
+	return accept.NewListener(ln, accept.LogTo(log, "registry"))
 }
 
 // fail answers with an error: its code, what failed and on what, and what an operator can do. An error that has no code
