--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,8 +47,8 @@
 	}
 }
 
-// discovery is a discovery without backends. The channel tells when it is asked.
-func discovery(t *testing.T) (addr string, asked <-chan struct{}) {
+// discovery is a discovery with these backends. The channel tells when it is asked.
+func discovery(t *testing.T, members ...string) (addr string, asked <-chan struct{}) {
 	t.Helper()
 	c := make(chan struct{}, 1)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -59,7 +59,7 @@
 		if r.URL.RawQuery != "" {
 			<-r.Context().Done() // a watch with no news
 		}
-		io.WriteString(w, `{"revision":1,"complete":true,"members":[]}`)
+		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[%s]}`, strings.Join(members, ","))
 	}))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String(), c
@@ -70,15 +70,17 @@
 	*exec.Cmd
 	t      *testing.T
 	config string // the file
+	keys   []string
 	listen string
 	log    *os.File // what it logs
 	logged *bufio.Scanner
 }
 
-// startProcess starts a node that asks the discovery at an address, and waits until it serves.
-func startProcess(t *testing.T, discovery string) *process {
+// startProcess starts a node that asks the discovery at an address, with more keys in its configuration, and waits until it
+// serves.
+func startProcess(t *testing.T, discovery string, keys ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0]), t: t, config: t.TempDir() + "/config.json", listen: "127.0.0.1:0"}
+	p := &process{Cmd: exec.Command(os.Args[0]), t: t, config: t.TempDir() + "/config.json", listen: "127.0.0.1:0", keys: keys}
 	l, err := net.Listen("tcp", p.listen)
 	if err != nil {
 		t.Fatal(err)
@@ -86,7 +88,7 @@
 	p.listen = l.Addr().String()
 	l.Close()
 	p.configure(discovery)
-	p.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+p.config)
+	p.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+p.config, "TMPDIR="+t.TempDir())
 	read, write, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -115,8 +117,8 @@
 // configure names another discovery in the file.
 func (p *process) configure(discovery string) {
 	p.t.Helper()
-	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"settings":{"classes":[{"name":"a","deadline":100000000}]}}`,
-		p.listen, discovery))
+	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,%s"settings":{"classes":[{"name":"a","deadline":%d},{"name":"read","effect":"pure","deadline":%d}]}}`,
+		p.listen, discovery, strings.Join(append(slices.Clone(p.keys), ""), ","), shutdownDeadline, shutdownDeadline))
 }
 
 func (p *process) awaitLine(text string) {
