Bound what a process takes by the time of its kill, whether or not another one serves

Cause: leave() set the time by which all has to be answered only where no other process serves, and drain() waited for connections that were never used for the longest deadline and 0.6 s. So the old process of an upgrade gave a late request its whole time and SIGKILL found it. Class: one condition ('another process serves') stood for another ('this one may be killed').

Change: one schedule (shutdown.go) counted from SIGTERM: requests are taken until a quarter of the longest deadline is left, refused after that, all that is open is answered 0.2 s before the earliest kill (it was 0.1 s; a process may be held up for 0.15 s), requests from before SIGTERM and streamed ones too. Half a request gets a 503 then, in place of a close. The guard counts what is left (rule shutdown). The old process keeps the shared listener until it ends, so that it can take the backlog back; a process that was told to end takes no node over. Two tests changed with reason: the drain's half heads need settings under which 2 s are before the kill, and finish is part of drain now.

--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -65,6 +65,14 @@
 	return s.Listener.Addr().String(), c
 }
 
+var addresses atomic.Int64
+
+// address is one that no other socket of this machine is likely to have: each has a loopback host of its own.
+func address() string {
+	const port = 8443
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()>>8&63, os.Getpid()&255, 1+addresses.Add(1), port)
+}
+
 // process is a node that runs as a process of its own.
 type process struct {
 	*exec.Cmd
@@ -80,13 +88,7 @@
 // serves.
 func startProcess(t *testing.T, discovery string, keys ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0]), t: t, config: t.TempDir() + "/config.json", listen: "127.0.0.1:0", keys: keys}
-	l, err := net.Listen("tcp", p.listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.listen = l.Addr().String()
-	l.Close()
+	p := &process{Cmd: exec.Command(os.Args[0]), t: t, config: t.TempDir() + "/config.json", listen: address(), keys: keys}
 	p.configure(discovery)
 	p.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+p.config, "TMPDIR="+t.TempDir())
 	read, write, err := os.Pipe()
--- a/cmd/glencart/shutdown_test.go
+++ b/cmd/glencart/shutdown_test.go
@@ -161,12 +161,7 @@
 // replace starts a second process of the node and waits until it is ready.
 func (p *process) replace() {
 	p.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	admin := l.Addr().String()
-	l.Close()
+	admin := address()
 	next := exec.Command(os.Args[0])
 	next.Env = append(p.Env, "BALANCER_ADMIN="+admin)
 	if err := next.Start(); err != nil {
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -83,7 +83,7 @@
 
 // sentWhole takes in, from any goroutine, that the last byte of a streamed request has gone, and returns its deadline.
 func (l *loop) sentWhole(r *request) time.Time {
-	deadline := time.Now().Add(r.message.left)
+	deadline := l.shutdown.bound(time.Now().Add(r.message.left))
 	l.post(func() {
 		r.deadline = deadline
 		if n := len(r.attempts) - 1; !r.answered && n >= 0 && !r.attempts[n].over {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"glencart/internal/lograte"
-	"glencart/internal/monotime"
 	"glencart/internal/settings"
 )
 
@@ -45,13 +44,12 @@
 	most     int64 // requests at once
 	inFlight atomic.Int64
 	figures  *figures
-	crowded  int             // so many connections that idle ones give way
-	leaving  atomic.Bool     // the node is about to end
-	handed   atomic.Bool     // another process accepts its connections
-	until    monotime.Atomic // by which all has to be answered; zero: no such time
-	large    bool            // bodies of any length are streamed, and connections kept in a crowd
-	kept     *budget         // of requests kept whole
-	fleet    *fleetPart      // nil: none
+	crowded  int         // so many connections that idle ones give way
+	shutdown *shutdown   // what is taken, and answered by when, once the process is told to end
+	handed   atomic.Bool // another process accepts its connections
+	large    bool        // bodies of any length are streamed, and connections kept in a crowd
+	kept     *budget     // of requests kept whole
+	fleet    *fleetPart  // nil: none
 	closes   *closeCounts
 
 	mu    sync.Mutex
@@ -61,8 +59,9 @@
 
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
+	l.shutdown = newShutdown(names)
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, figures: l.figures, kept: newBudget(0), names: names, log: log,
+	return &front{loop: l, shutdown: l.shutdown, figures: l.figures, kept: newBudget(0), names: names, log: log,
 		complain: &lograte.Limited{Log: log}, closes: &l.figures.closes, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]time.Time{}, heads: map[net.Conn]bool{}}
 }
@@ -114,7 +113,7 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
-	if f.leaving.Load() || f.handed.Load() || f.isCrowded() {
+	if f.shutdown.begun() || f.handed.Load() || f.isCrowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
@@ -134,7 +133,7 @@
 	}
 	switch hr.URL.Path {
 	case "/health/ready":
-		f.health(w, f.loop.ready.Load() && (f.handed.Load() || !f.leaving.Load()))
+		f.health(w, f.loop.ready.Load() && (f.handed.Load() || !f.shutdown.begun()))
 		return
 	case "/health/live":
 		f.health(w, true)
@@ -151,7 +150,11 @@
 	}
 	defer f.inFlight.Add(-1)
 	r, status, err := f.read(w, hr, h.since)
+	late := !f.shutdown.takes()
 	if err != nil {
+		if late && status == http.StatusRequestTimeout {
+			status = http.StatusServiceUnavailable // cut short here: nothing was done for it
+		}
 		reject(w, hr, status, err.Error())
 		return
 	}
@@ -164,6 +167,12 @@
 			f.fleet.asked(c, r)
 		}
 	}
+	if late {
+		f.complain.Warn("request refused: this process is about to end", "request", r.id, "class", r.class)
+		f.figures.count(r.class, refused)
+		reject(w, hr, http.StatusServiceUnavailable, "this process is about to end")
+		return
+	}
 	if r.message.open != nil {
 		// The answer may come before the body's end, and nothing can follow it then.
 		w.Header().Set("Connection", "close")
@@ -206,7 +215,7 @@
 		if end = a.kind; a.stream != nil {
 			end = failed // until all of it has been passed on
 		}
-		if f.leaving.Load() || f.handed.Load() {
+		if f.shutdown.begun() || f.handed.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		if u != nil {
--- a/internal/node/closes.go
+++ b/internal/node/closes.go
@@ -11,6 +11,7 @@
 	closedForHandOver                    // it was idle at a process that hands over
 	closedInDrain                        // it came to rest at a node that drains
 	closedAtEnd                          // it was left when the node ended
+	closedUnfinished                     // half a request was on it when the last answers were due: it was refused
 	closedIdle                           // a connection to a backend was idle for too long
 	closedStale                          // one to a backend had ended, or had something to read, before it was used again
 	closedUnlisted                       // its backend takes nothing new
@@ -18,7 +19,7 @@
 	closeReasons
 )
 
-var closeNames = [closeReasons]string{"room", "hand_over", "drain", "end", "backend_idle", "backend_stale", "backend_unlisted",
+var closeNames = [closeReasons]string{"room", "hand_over", "drain", "end", "unfinished", "backend_idle", "backend_stale", "backend_unlisted",
 	"backend_used"}
 
 // closeCounts counts the connections that the node ended, by reason.
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -161,7 +161,7 @@
 }
 
 // Before the server's own end, which closes everything, who is being served has the answer, and who is not is ended for good.
-func TestFinishWaitsForWhoIsServed(t *testing.T) {
+func TestDrainWaitsForWhoIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFront(newLoop(nil, nil, newFigures(nil), quiet()), testNames(), 64, quiet())
 		conn := func() *boundedConn {
@@ -176,8 +176,10 @@
 		served.framed.heads = []head{{}}
 		served.framed.take()
 		done := make(chan struct{})
-		go func() { f.finish(t.Context()); close(done) }()
-		time.Sleep(time.Second)
+		f.inFlight.Add(1)
+		f.shutdown.begin()
+		go func() { f.drain(t.Context()); close(done) }()
+		time.Sleep(time.Until(f.shutdown.killAt().Add(time.Second).Time()))
 		synctest.Wait()
 		ended := func(c *boundedConn) bool {
 			c.framed.mu.Lock()
@@ -192,6 +194,7 @@
 			t.Error("finished under a request")
 		default:
 		}
+		f.inFlight.Add(-1)
 		f.track(served, http.StateActive)
 		f.track(served, http.StateIdle)
 		<-done
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -80,32 +80,51 @@
 	return n
 }
 
-// drain ends connections as they come to rest, until none is left that has more to come, or ctx ends. It ends none with
-// part of a request on it. Connections on which nothing has ever come do not hold it up for longer than stillFor.
+// endSilent ends connections on which nothing of a request has come.
+func (f *front) endSilent() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if endBetween(c, false) {
+			f.closes.add(closedAtEnd)
+		}
+	}
+}
+
+// refuseUnfinished answers requests that have not come whole.
+func (f *front) refuseUnfinished() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		b, ok := c.(*boundedConn)
+		if !ok {
+			continue
+		}
+		if b.framed.refuseBegun() {
+			f.closes.add(closedUnfinished)
+		}
+		b.framed.cutBody()
+	}
+}
+
+// drain ends connections as they come to rest, until none is left. Those on which nothing has ever come are ended when nothing
+// has happened for stillFor, or nothing more is taken; half a request is answered when the last answers are due. It
+// returns early when ctx ends, or when there are only clients left that do not close.
 func (f *front) drain(ctx context.Context) {
 	for still := time.Duration(0); f.held() > 0 && ctx.Err() == nil; still += lookEvery {
 		f.endIdle(0, closedInDrain)
 		if f.handed.Load() || f.busy() > 0 {
 			still = 0 // where another process serves nobody new comes here, and who has connected may yet ask
 		}
-		if still >= stillFor {
-			return
-		}
-		pause(ctx, lookEvery)
-	}
-}
-
-// finish ends what is left: who is not being served never will be, and who is has the answer first, unless ctx ends.
-func (f *front) finish(ctx context.Context) {
-	for {
-		f.mu.Lock()
-		for c := range f.conns {
-			if endBetween(c, true) {
-				f.closes.add(closedAtEnd)
+		if still >= stillFor || !f.shutdown.takes() {
+			if f.endSilent(); f.busy() == 0 {
+				return
 			}
 		}
-		f.mu.Unlock()
-		if f.busy() == 0 || ctx.Err() != nil {
+		if f.shutdown.due() {
+			f.refuseUnfinished()
+		}
+		if f.shutdown.over() && f.inFlight.Load() == 0 {
 			return
 		}
 		pause(ctx, lookEvery)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -95,7 +95,7 @@
 		refused += p.n.figures.ends[i].rejected.Load()
 		failed += p.n.figures.ends[i].failed.Load()
 	}
-	r := fleet.Report{Draining: p.n.front.leaving.Load(), Backends: p.backends()}
+	r := fleet.Report{Draining: p.n.front.shutdown.begun(), Backends: p.backends()}
 	r.Figures = fleet.Figures{
 		Connections: float64(p.n.front.held()), Allowed: float64(cmp.Or(p.n.cfg.Limits.Sockets, usualSockets)),
 		Core:     (cpu - p.cpu).Seconds() / span / cmp.Or(p.n.cfg.Limits.Cores, 1),
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -45,6 +46,8 @@
 	ended   bool   // this side has closed the connection
 	partly  bool   // some of a message has been read that the handler has not taken
 	serving bool   // a message is with the handler
+	refused bool   // half a message was answered in place of the server: its client may still send the rest
+	reading bool   // the handler keeps a body whole, and is not done
 	heads   []head // that the handler has not taken; more than one only of a peer that does not wait for answers
 }
 
@@ -81,7 +84,7 @@
 		}
 	}
 	if n > 0 && !c.part() {
-		return 0, net.ErrClosed // it crossed the close
+		return 0, c.crossed(p)
 	}
 	switch {
 	case c.last:
@@ -141,7 +144,63 @@
 func (c *framedConn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.ended && (c.partly || c.serving || len(c.heads) > 0)
+	return c.refused || !c.ended && (c.partly || c.serving || len(c.heads) > 0)
+}
+
+// refusal answers half a request: whatever its client sends yet, nothing is done for it.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refusalWithin bounds the writing of a refusal, which waits for no client that reads.
+const refusalWithin = 20 * time.Millisecond
+
+// refuseBegun answers a client that has begun a message and not ended it, and takes no more of it. The connection stays until
+// the client closes it: a reset could overtake the answer. It tells whether there was one.
+func (c *framedConn) refuseBegun() bool {
+	c.mu.Lock()
+	begun := !c.ended && c.partly && !c.serving && len(c.heads) == 0
+	if begun {
+		c.ended, c.refused = true, true
+	}
+	c.mu.Unlock()
+	if !begun {
+		return false
+	}
+	c.Conn.SetWriteDeadline(time.Now().Add(refusalWithin))
+	io.WriteString(c.Conn, refusal)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	return true
+}
+
+// crossed takes in that something came after this side had closed the connection, or answered half a message on it: in that
+// case it reads on until the client closes.
+func (c *framedConn) crossed(p []byte) error {
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	for refused {
+		if _, err := c.Conn.Read(p); err != nil {
+			return err
+		}
+	}
+	return net.ErrClosed
+}
+
+// collect takes in that the handler begins, or is done, to keep a body whole.
+func (c *framedConn) collect(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
+// cutBody ends the wait for a body that is to be kept whole. It may be called again while its reader sets other times.
+func (c *framedConn) cutBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.Conn.SetReadDeadline(time.Now())
+	}
 }
 
 // endBetween ends the connection if no message is being served, nor has begun to come in unless that doesn't matter. It
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -154,7 +154,7 @@
 	c := n.dialed(t, reading("one")+strings.Repeat("y", 40<<10))
 	c.(*net.TCPConn).SetReadBuffer(4 << 10) // so that most of the answer waits at the node when it closes
 	receive(t, "the attempt", held)
-	n.front.leaving.Store(true)
+	n.front.shutdown.begin()
 	close(hold)
 	eventually(t, "the node's close", func() bool { return n.front.held() == 0 })
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -191,7 +191,8 @@
 		}
 		send(kept, text[:20])
 		synctest.Wait()
-		f.leaving.Store(true)
+		f.shutdown.deadline = killDeadlineMost
+		f.shutdown.begin()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		drained := make(chan struct{})
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -25,10 +25,12 @@
 	ruleAttempts
 	// ruleAnswer: the node ends no connection under a request that it has read.
 	ruleAnswer
+	// ruleShutdown: a process that was told to end has answered all that it took before it may be killed.
+	ruleShutdown
 	ruleCount
 )
 
-var ruleNames = [ruleCount]string{"recipient", "owner", "effect", "attempts", "answer"}
+var ruleNames = [ruleCount]string{"recipient", "owner", "effect", "attempts", "answer", "shutdown"}
 
 // goneGrace is how long after its client has gone an attempt may still begin.
 const goneGrace = 100 * time.Millisecond
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -239,6 +239,9 @@
 	h := n.handing
 	defer h.old.Close()
 	for !n.loop.ready.Load() && ctx.Err() == nil {
+		if n.front.shutdown.begun() {
+			return // the old process keeps the node: this one could not serve it for long
+		}
 		pause(ctx, lookEvery)
 	}
 	known, left, err := h.take()
@@ -303,7 +306,6 @@
 	}
 	if !done && ctx.Err() == nil {
 		// Also while this process leaves: the listener is both processes', and what waits there has nobody else.
-		n.front.until.Store(n.answerBy.Load())
 		n.handed(false)
 		n.allow(holds{})
 		n.log.Error("the process that took over has gone: serving again", "error", err)
--- a/internal/node/handing_test.go
+++ b/internal/node/handing_test.go
@@ -185,7 +185,7 @@
 		t.Fatal(err)
 	}
 	old.stop()
-	eventually(t, "the old process leaves", old.front.leaving.Load)
+	eventually(t, "the old process leaves", old.front.shutdown.begun)
 	answered := make(chan int, 1)
 	go func() {
 		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(ask(t, old.url+"/x", "read"))
@@ -323,7 +323,7 @@
 	select {
 	case <-old.err:
 		t.Fatal("the old process ended within an answer")
-	case <-time.After(lameDuck + 2*deadline):
+	case <-time.After(acceptFor + 2*deadline):
 	}
 	close(more)
 	if body, err := io.ReadAll(resp.Body); err != nil || len(body) != 100000 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -45,6 +45,7 @@
 
 	counts   counts
 	guard    *guard
+	shutdown *shutdown
 	unserved *lograte.Limited
 	figures  *figures
 	shownAt  time.Duration // when what only the loop knows was last published
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,16 +16,10 @@
 	"glencart/balance"
 	"glencart/internal/accept"
 	"glencart/internal/admin"
-	"glencart/internal/monotime"
 	"glencart/internal/settings"
 )
 
 const (
-	// lameDuck is how long a node that is to end goes on accepting: the front needs up to 0.4 s to see it. With
-	// the longest deadline, which comes on top, it stays below the time at which SIGKILL may come.
-	lameDuck = 600 * time.Millisecond
-	// killedAfter is the most that a deadline puts off SIGKILL, which comes 0.1 s after lameDuck and that.
-	killedAfter = 3 * time.Second
 	// clearFor is how long there must be room to accept, for the backlog to be empty.
 	clearFor = 50 * time.Millisecond
 	// firstListWithin is how long a process waits for the first pushed list before it says that it is ready. An agent
@@ -54,8 +48,7 @@
 	handing  *handing      // likewise
 	fleet    *fleetPart    // where the configuration has a part in the fleet
 
-	answerBy  monotime.Atomic // by when a node that leaves, and is not replaced, has to have answered; zero: it does not leave
-	firstList time.Duration   // how long Run waits for a pushed list before the node is ready without
+	firstList time.Duration // how long Run waits for a pushed list before the node is ready without
 }
 
 // New returns a node that is ready to run.
@@ -244,37 +237,33 @@
 	return errors.Join(lost, n.leave(srv))
 }
 
-// leave ends the node in order: it goes on accepting until nobody sends anything new, answers what it has taken,
-// and closes each connection after an answer or once it rests. What it takes until then is answered by the time at
-// which it may be killed.
+// leave ends the node in order: it goes on accepting until nobody sends anything new, answers what it has taken, and closes
+// each connection after an answer or once it rests. What it takes until then is answered before it may be killed.
 func (n *Node) leave(srv *http.Server) error {
 	n.log.Info("leaving")
-	longest := longestDeadline(n.cfg.Settings)
-	n.answerBy.Store(monotime.Now().Add(lameDuck + min(longest, killedAfter)))
-	if !n.front.handed.Load() {
-		n.front.until.Store(n.answerBy.Load())
-	}
-	n.front.leaving.Store(true)
-	time.Sleep(lameDuck)
-	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	schedule := n.front.shutdown
+	schedule.begin()
+	ctx, cancel := n.leaveWithin()
 	defer cancel()
-	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
-	for free := time.Duration(0); free < clearFor && ctx.Err() == nil; free += lookEvery {
-		pause(ctx, lookEvery)
-		if n.listener.backlogged() {
-			free = 0
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	watched, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	wg.Go(func() { n.answerInTime(watched) })
+
+	pause(ctx, time.Until(schedule.acceptUntil().Time()))
+	var err error
+	for accepting := true; accepting; {
+		if !n.front.handed.Load() {
+			n.emptyBacklog(ctx)
+			err, accepting = n.listener.Close(), false
+		}
+		n.front.drain(ctx)
+		if n.front.handed.Load() {
+			break // the listener stayed open for the case that the other process ends: what waits there had nobody else
 		}
 	}
-	err := n.listener.Close()
-	n.front.drain(ctx)
-	// An answer that is still coming, and a request that is, may take longer. Whoever can't wait kills the process. Where
-	// another process serves already, heads that have begun to come in may end too.
-	for n.front.large && (n.front.inFlight.Load() > 0 || n.front.handed.Load() && n.front.busy() > 0) {
-		time.Sleep(lookEvery)
-	}
-	last, end := context.WithTimeout(context.Background(), longest)
-	defer end()
-	n.front.finish(last)
+	n.listener.Close()
 	srv.Close()
 	n.log.Info("left")
 	if err != nil && !errors.Is(err, net.ErrClosed) {
@@ -283,6 +272,44 @@
 	return nil
 }
 
+// leaveWithin bounds the time for which a node that leaves waits for what it can't end itself: answers that are still being
+// passed on, and requests that are. Where they may have any length they take as long as they do, and whoever can't wait
+// kills the process.
+func (n *Node) leaveWithin() (context.Context, context.CancelFunc) {
+	if n.front.large {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), killGrace+2*longestDeadline(n.cfg.Settings))
+}
+
+// emptyBacklog accepts what stands in the backlog, for want of room or since accept fails: that has been taken too, and closing
+// the listener would reset it.
+func (n *Node) emptyBacklog(ctx context.Context) {
+	for free := time.Duration(0); free < clearFor && ctx.Err() == nil && !n.front.shutdown.due(); free += lookEvery {
+		pause(ctx, lookEvery)
+		if n.listener.backlogged() {
+			free = 0
+		}
+		if !n.front.shutdown.takes() {
+			n.front.endSilent() // who waits is answered
+		}
+	}
+}
+
+// answerInTime has all that was taken answered when that is due, and counts what is not.
+func (n *Node) answerInTime(ctx context.Context) {
+	schedule := n.front.shutdown
+	pause(ctx, time.Until(schedule.answerBy().Time()))
+	for checked := false; ctx.Err() == nil; {
+		n.loop.post(n.loop.answerOpen)
+		pause(ctx, lookEvery)
+		if !checked && schedule.over() {
+			checked = true
+			n.loop.post(n.loop.checkShutdown)
+		}
+	}
+}
+
 // longestDeadline is the longest time for which a request may be in flight.
 func longestDeadline(s settings.Settings) time.Duration {
 	var longest time.Duration
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -344,7 +344,7 @@
 	receive(t, "the slow request at the backend", held)
 	began := time.Now()
 	n.stop()
-	eventually(t, "leaving", func() bool { return n.front.leaving.Load() })
+	eventually(t, "leaving", func() bool { return n.front.shutdown.begun() })
 	if resp, _ := do(t, ask(t, n.url+"/health/ready", "read")); resp.StatusCode != 503 {
 		t.Errorf("readiness of a node that leaves: %d", resp.StatusCode)
 	}
@@ -410,7 +410,7 @@
 		waits <- body
 	}()
 	n.stop()
-	time.Sleep(lameDuck + 100*time.Millisecond)
+	time.Sleep(acceptFor + 100*time.Millisecond)
 	for _, c := range silent {
 		c.Close()
 	}
--- a/internal/node/plant.go
+++ b/internal/node/plant.go
@@ -13,7 +13,7 @@
 
 // dropPlanted ends a request's connection where that is planted.
 func (f *front) dropPlanted() {
-	if plantDropInDrain != "" && f.leaving.Load() && planted.CompareAndSwap(false, true) {
+	if plantDropInDrain != "" && f.shutdown.begun() && planted.CompareAndSwap(false, true) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"glencart/balance"
-	"glencart/internal/monotime"
 )
 
 // This file reads what a client asks for: the head, the checks of it, and the body.
@@ -91,10 +90,8 @@
 	case open == nil:
 		// The time of a request counts from its last byte, which may have come before the node got to read it.
 		left = max(left-waited(hr), early)
-		r.deadline = time.Now().Add(left - early)
-		if until := f.until.Load(); !until.IsZero() && monotime.At(r.deadline) > until {
-			r.deadline = until.Time()
-		}
+		// Whether or not another process serves: the kill does not ask.
+		r.deadline = f.shutdown.bound(time.Now().Add(left - early))
 	}
 	endToEnd(h)
 	// Whatever Connection named, a backend needs these to tell a request from its repeat.
@@ -140,6 +137,10 @@
 		return nil, nil, 0, errTooLong
 	}
 	paced := newPacedBody(w, hr, since, most)
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+		c.collect(true)
+		defer func() { c.collect(false) }()
+	}
 	var ended bool
 	switch {
 	case size < 0:
--- /dev/null
+++ b/internal/node/shutdown.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/monotime"
+	"glencart/internal/settings"
+)
+
+// The spans of a shutdown, from SIGTERM on (PROTOCOL).
+const (
+	// killDeadlineMost is the most that the longest deadline puts off SIGKILL, and killGrace comes on top.
+	killDeadlineMost, killGrace = 3 * time.Second, 700 * time.Millisecond
+	// killMargin is how long before the earliest kill the last answer is written: a process may be held up for 0.15 s.
+	killMargin = 200 * time.Millisecond
+	// lastPart is the part of the longest deadline that is left to a request which is taken at the last moment.
+	lastPart = 4
+	// exitMargin is how long before the earliest kill a process ends itself that only waits for clients to close.
+	exitMargin = 50 * time.Millisecond
+	// acceptFor is how long connections are accepted: the front needs up to 0.4 s to see that the process leaves.
+	acceptFor = 600 * time.Millisecond
+)
+
+// shutdown is the schedule of a process that was told to end. It has one form whatever else runs under the node's name, as the
+// kill does not ask: what is taken until takeUntil is answered by answerBy, and what comes later is refused.
+type shutdown struct {
+	deadline time.Duration   // the longest of the settings, as far as it puts off the kill
+	told     monotime.Atomic // when the process was told to end; zero: it was not
+}
+
+func newShutdown(s settings.Settings) *shutdown {
+	return &shutdown{deadline: min(longestDeadline(s), killDeadlineMost)}
+}
+
+// begin starts the schedule now.
+func (s *shutdown) begin() { s.told.Store(monotime.Now()) }
+
+// begun tells whether the process was told to end.
+func (s *shutdown) begun() bool { return !s.told.Load().IsZero() }
+
+// killAt is the earliest at which the process may be killed.
+func (s *shutdown) killAt() monotime.Instant { return s.told.Load().Add(s.deadline + killGrace) }
+
+// answerBy is when the last answer has to be written.
+func (s *shutdown) answerBy() monotime.Instant { return s.killAt().Add(-killMargin) }
+
+// takeUntil is until when requests are taken.
+func (s *shutdown) takeUntil() monotime.Instant { return s.answerBy().Add(-s.deadline / lastPart) }
+
+// acceptUntil is until when connections are accepted, whether or not any wait.
+func (s *shutdown) acceptUntil() monotime.Instant {
+	return min(s.told.Load().Add(acceptFor), s.takeUntil())
+}
+
+// takes tells whether a request that has come whole may be taken.
+func (s *shutdown) takes() bool { return !s.begun() || monotime.Now() < s.takeUntil() }
+
+// due tells whether all that was taken has to be answered now.
+func (s *shutdown) due() bool { return s.begun() && monotime.Now() >= s.answerBy() }
+
+// over tells whether it is time to end, but for answers that are still being passed on.
+func (s *shutdown) over() bool { return s.begun() && monotime.Now() >= s.killAt().Add(-exitMargin) }
+
+// bound returns the deadline of a request in a process that may have been told to end.
+func (s *shutdown) bound(deadline time.Time) time.Time {
+	if s.begun() && monotime.At(deadline) > s.answerBy() {
+		return s.answerBy().Time()
+	}
+	return deadline
+}
+
+// answerOpen gives every request that has no answer yet its final one, at the time by which that has to be written: also those
+// that were taken before the process was told to end and have more time than that. Answers that are being passed on go on.
+func (l *loop) answerOpen() {
+	var open []*request
+	for _, r := range l.requests {
+		if !r.answered {
+			open = append(open, r)
+		}
+	}
+	for _, r := range open {
+		l.handle(balance.Event{Kind: balance.ClientGone, Request: r.id}) // nothing more is to be done for it
+		l.finish(r, answer{kind: failed})
+	}
+}
+
+// checkShutdown counts the requests that the earliest kill would find unanswered.
+func (l *loop) checkShutdown() {
+	for id, r := range l.requests {
+		if !r.answered {
+			l.guard.violated(ruleShutdown, id, "attempts", len(r.attempts), "last", r.lastStatus())
+		}
+	}
+}
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -10,7 +10,7 @@
 
 func (t told) Ready() bool {
 	n := t.n
-	return n.loop.ready.Load() && !n.front.leaving.Load() && (n.handing == nil || n.handing.serving.Load())
+	return n.loop.ready.Load() && !n.front.shutdown.begun() && (n.handing == nil || n.handing.serving.Load())
 }
 
 func (t told) Figures(w io.Writer) { t.n.figures.write(w) }
--- a/internal/node/wallclock_test.go
+++ b/internal/node/wallclock_test.go
@@ -18,7 +18,7 @@
 		n.loop.worked = func(r *request, _ time.Duration) { deadlines <- r.deadline }
 	})
 	n.stop()
-	eventually(t, "the drain", n.front.leaving.Load)
+	eventually(t, "the drain", n.front.shutdown.begun)
 	do(t, ask(t, n.url+"/api/x", "order"))
 	if deadline := receive(t, "a request", deadlines); !strings.Contains(deadline.String(), " m=") {
 		t.Errorf("the deadline %v is a wall time", deadline)
