Play the crossings of restart, upgrade, series, lost successor and hold-ups

Need: the same rule has to hold on every path by which a process comes to hold a request.

Change: the incident's test has eleven ways to end a node, each with three habits of clients. The test's processes get addresses of their own, as ports that were free a moment ago were taken by others.

--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -69,19 +69,22 @@
 
 // address is one that no other socket of this machine is likely to have: each has a loopback host of its own.
 func address() string {
-	const port = 8443
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()>>8&63, os.Getpid()&255, 1+addresses.Add(1), port)
+	const port, hosts = 8443, 250
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()&63, n/hosts, 1+n%hosts, port)
 }
 
 // process is a node that runs as a process of its own.
 type process struct {
 	*exec.Cmd
-	t      *testing.T
-	config string // the file
-	keys   []string
-	listen string
-	log    *os.File // what it logs
-	logged *bufio.Scanner
+	t       *testing.T
+	config  string // the file
+	keys    []string
+	admin   string // its second address, of one that replaces another
+	clients []*lateClient
+	listen  string
+	log     *os.File // what it logs
+	logged  *bufio.Scanner
 }
 
 // startProcess starts a node that asks the discovery at an address, with more keys in its configuration, and waits until it
--- a/cmd/glencart/shutdown_test.go
+++ b/cmd/glencart/shutdown_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,7 +29,19 @@
 // Proof: the same clients, backends and signals lose nothing at a restart. They lose at an upgrade what is sent from 0.7 s after
 // SIGTERM on, and nothing of what is sent earlier.
 func TestEarliestKillFindsNothingUnanswered(t *testing.T) {
-	for _, way := range []string{"restart", "upgrade"} {
+	for way, end := range map[string]func(*shutdownPlay){
+		"restart":                         func(p *shutdownPlay) { p.tell(p.first) },
+		"upgrade":                         func(p *shutdownPlay) { p.first.replace(); p.tell(p.first) },
+		"series of upgrades":              (*shutdownPlay).series,
+		"successor ends before":           (*shutdownPlay).successorEndsBefore,
+		"successor ends after":            (*shutdownPlay).successorEndsAfter,
+		"successor is told to end first":  (*shutdownPlay).successorToldFirst,
+		"both are told to end":            (*shutdownPlay).bothTold,
+		"told twice, and to reload":       (*shutdownPlay).toldTwice,
+		"held up as it is told":           (*shutdownPlay).heldUpAtFirst,
+		"held up as the last are due":     (*shutdownPlay).heldUpAtLast,
+		"a successor starts as it leaves": (*shutdownPlay).successorComesLate,
+	} {
 		for habit, begin := range map[string]string{
 			"first request": "",
 			"rest of head":  "GET /api HTTP/1.1\r\nHost: x\r\nX-Tr",
@@ -36,7 +49,9 @@
 		} {
 			t.Run(way+"/"+habit, func(t *testing.T) {
 				t.Parallel()
-				endUnderLateRequests(t, way == "upgrade", begin)
+				play := newShutdownPlay(t, begin)
+				end(play)
+				play.judge()
 			})
 		}
 	}
@@ -104,82 +119,186 @@
 	c.ended, c.err = time.Now(), err
 }
 
-// endUnderLateRequests tells a node to end while clients that connected early send late, and kills it at the earliest.
-func endUnderLateRequests(t *testing.T, upgrade bool, begin string) {
-	backend := &hangingBackend{taken: map[string]bool{}}
+// shutdownPlay is one node whose processes are told to end while clients that connected early send late, and which are killed
+// at the earliest.
+type shutdownPlay struct {
+	*testing.T
+	backend *hangingBackend
+	begin   string // of the clients' requests
+	first   *process
+	clients []*lateClient
+	waiting sync.WaitGroup // for clients and processes
+}
+
+// newShutdownPlay starts the node's first process.
+func newShutdownPlay(t *testing.T, begin string) *shutdownPlay {
+	p := &shutdownPlay{T: t, backend: &hangingBackend{taken: map[string]bool{}}, begin: begin}
 	var members []string
 	for i := range 24 { // so many that some are not known yet to hang
-		s := httptest.NewServer(backend)
+		s := httptest.NewServer(p.backend)
 		t.Cleanup(s.CloseClientConnections) // before Close, which waits for what hangs
 		members = append(members, fmt.Sprintf(`{"id":"s-%d","host_port":%q,"locality":"a","flavor":"m","cell":0,"phase":"ready","size":1.0,"up_since_ms":0}`,
 			i, s.Listener.Addr().String()))
 	}
 	addr, _ := discovery(t, members...)
-	old := startProcess(t, addr, `"admin":"127.0.0.1:0"`)
-	go io.Copy(io.Discard, old.log)
-	var clients []*lateClient
+	p.first = startProcess(t, addr, `"admin":"127.0.0.1:0"`)
+	p.connect(p.first)
+	return p
+}
+
+// connect has clients connect to the process that accepts now.
+func (p *shutdownPlay) connect(to *process) {
+	go io.Copy(io.Discard, to.log)
 	for at := 500 * time.Millisecond; at < shutdownKill; at += 50 * time.Millisecond {
-		conn, err := net.Dial("tcp", old.listen)
+		conn, err := net.Dial("tcp", p.first.listen)
 		if err != nil {
-			t.Fatal(err)
+			p.Fatal(err)
 		}
-		defer conn.Close()
-		id := fmt.Sprintf("id-%d", at.Milliseconds())
-		c := &lateClient{Conn: conn, id: id, at: at, begin: begin}
-		if strings.Contains(begin, "%s") {
-			c.begin = fmt.Sprintf(begin, id)
+		p.Cleanup(func() { conn.Close() })
+		c := &lateClient{Conn: conn, id: fmt.Sprintf("id-%d-%d", to.Process.Pid, at.Milliseconds()), at: at, begin: p.begin}
+		if strings.Contains(p.begin, "%s") {
+			c.begin = fmt.Sprintf(p.begin, c.id)
 		}
-		clients = append(clients, c)
-	}
-	time.Sleep(100 * time.Millisecond) // for the old process to accept them
-	if upgrade {
-		old.replace()
+		to.clients = append(to.clients, c)
 	}
-	for _, c := range clients {
+	time.Sleep(100 * time.Millisecond) // for the process to accept them
+}
+
+// tell tells a process to end, and has it killed at the earliest. Its clients send what they have to.
+func (p *shutdownPlay) tell(to *process) {
+	for _, c := range to.clients {
 		io.WriteString(c, c.begin)
 	}
 	told := time.Now()
-	old.Process.Signal(syscall.SIGTERM)
-	var wg sync.WaitGroup
-	for _, c := range clients {
-		wg.Go(func() { c.run(told) })
+	to.Process.Signal(syscall.SIGTERM)
+	p.clients = append(p.clients, to.clients...)
+	for _, c := range to.clients {
+		p.waiting.Go(func() { c.run(told) })
 	}
-	time.AfterFunc(time.Until(told.Add(shutdownKill)), func() { old.Process.Kill() })
-	old.Wait()
-	wg.Wait()
-	for _, c := range clients {
+	p.waiting.Go(func() {
+		kill := time.AfterFunc(time.Until(told.Add(shutdownKill)), func() { to.Process.Kill() })
+		defer kill.Stop()
+		to.Wait()
+	})
+}
+
+// series replaces the successor too while the first process leaves.
+func (p *shutdownPlay) series() {
+	second := p.first.replace()
+	p.connect(second)
+	p.tell(p.first)
+	second.replace()
+	p.tell(second)
+}
+
+func (p *shutdownPlay) successorEndsBefore() {
+	p.first.replace().Process.Kill()
+	time.Sleep(50 * time.Millisecond)
+	p.tell(p.first)
+}
+
+func (p *shutdownPlay) successorEndsAfter() {
+	second := p.first.replace()
+	p.tell(p.first)
+	time.Sleep(300 * time.Millisecond)
+	second.Process.Kill()
+}
+
+func (p *shutdownPlay) successorToldFirst() {
+	second := p.first.start()
+	time.Sleep(20 * time.Millisecond) // it may have the listener by then
+	second.Process.Signal(syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond)
+	p.tell(p.first)
+}
+
+func (p *shutdownPlay) bothTold() {
+	second := p.first.replace()
+	p.connect(second)
+	p.tell(p.first)
+	p.tell(second)
+}
+
+func (p *shutdownPlay) toldTwice() {
+	p.first.replace()
+	p.tell(p.first)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		time.Sleep(100 * time.Millisecond)
+		p.first.Process.Signal(s)
+	}
+}
+
+// heldUp is the most that a process may be held up for.
+const heldUp = 150 * time.Millisecond
+
+func (p *shutdownPlay) heldUpAtFirst() {
+	p.first.replace()
+	p.first.Process.Signal(syscall.SIGSTOP)
+	p.tell(p.first)
+	time.Sleep(heldUp)
+	p.first.Process.Signal(syscall.SIGCONT)
+}
+
+func (p *shutdownPlay) heldUpAtLast() {
+	p.first.replace()
+	p.tell(p.first)
+	time.Sleep(shutdownKill - 250*time.Millisecond)
+	p.first.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(heldUp)
+	p.first.Process.Signal(syscall.SIGCONT)
+}
+
+func (p *shutdownPlay) successorComesLate() {
+	p.tell(p.first)
+	time.Sleep(100 * time.Millisecond)
+	p.first.start()
+}
+
+// judge looks at every client's end.
+func (p *shutdownPlay) judge() {
+	p.waiting.Wait()
+	for _, c := range p.clients {
 		switch {
 		case c.err == nil:
-		case backend.took(c.id):
-			t.Errorf("%s after SIGTERM: taken by a backend, and no whole answer: %v", c.at, c.err)
+		case p.backend.took(c.id):
+			p.Errorf("%s after SIGTERM: taken by a backend, and no whole answer: %v", c.at, c.err)
 		case !c.sent.IsZero() && c.ended.Sub(c.sent) > crossing:
-			t.Errorf("%s after SIGTERM: held for %s, and no whole answer: %v", c.at, c.ended.Sub(c.sent), c.err)
+			p.Errorf("%s after SIGTERM: held for %s, and no whole answer: %v", c.at, c.ended.Sub(c.sent), c.err)
 		}
 	}
 }
 
-// replace starts a second process of the node and waits until it is ready.
-func (p *process) replace() {
+// start starts another process of the node beside this one.
+func (p *process) start() *process {
 	p.t.Helper()
-	admin := address()
-	next := exec.Command(os.Args[0])
-	next.Env = append(p.Env, "BALANCER_ADMIN="+admin)
+	next := &process{Cmd: exec.Command(os.Args[0]), t: p.t, config: p.config, listen: p.listen, admin: address()}
+	next.Env = append(slices.Clone(p.Env), "BALANCER_ADMIN="+next.admin)
+	next.log, _ = os.Open(os.DevNull)
 	if err := next.Start(); err != nil {
 		p.t.Fatal(err)
 	}
 	p.t.Cleanup(func() {
 		next.Process.Kill()
 		next.Wait()
+		next.log.Close()
 	})
+	return next
+}
+
+// replace starts another process of the node and waits until it is ready.
+func (p *process) replace() *process {
+	p.t.Helper()
+	next := p.start()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		resp, err := http.Get("http://" + admin + "/admin/health")
+		resp, err := http.Get("http://" + next.admin + "/admin/health")
 		if err != nil {
 			continue
 		}
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
-			return
+			return next
 		}
 	}
 	p.t.Fatal("the second process does not become ready")
+	return nil
 }
