Give the node back as soon as a successor is told to end, not when its process ends

Cause: the old process rests while the connection to its successor stands, and that stood until the successor's process ended, up to 3.7 s after its SIGTERM, long after it had closed the listener that both have. Class: 'another process serves' was decided by another process's life instead of by what it does.

Change: leave() ends the succession, so the old process accepts at once, and a process that leaves replaces no hand-over socket.

The soak draws no trouble past the end of its load.

--- a/internal/lab/soak.go
+++ b/internal/lab/soak.go
@@ -188,7 +188,7 @@
 		}
 	}
 	d.add(at, "upgrade", node)
-	soon := at + d.span(20*time.Millisecond, 1500*time.Millisecond)
+	soon := min(at+d.span(20*time.Millisecond, 1500*time.Millisecond), d.s.Duration.Duration)
 	switch kind {
 	case 0: // a series
 		d.add(soon, "upgrade", node)
@@ -202,7 +202,7 @@
 		d.add(soon, "hup", node)
 	case 4: // the successor is told twice
 		d.add(soon, "term", node)
-		d.add(soon+d.span(50*time.Millisecond, 600*time.Millisecond), "term", node)
+		d.add(min(soon+d.span(50*time.Millisecond, 600*time.Millisecond), d.s.Duration.Duration), "term", node)
 		d.add(soon+d.s.killAfter(), "restart", node)
 	default:
 	}
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -168,6 +168,14 @@
 	return list, len(list.Members) > 0
 }
 
+// giveBack has the old process serve again, if it is still there, as this one was told to end: the old one may outlive it, and
+// rests while it believes that this one accepts.
+func (h *handing) giveBack() {
+	if h.old != nil {
+		h.old.Close()
+	}
+}
+
 // close ends a handing over that comes to nothing.
 func (h *handing) close() {
 	if h.old != nil {
@@ -198,6 +206,9 @@
 		stop := context.AfterFunc(ctx, func() { h.old.Close() })
 		n.succeed(ctx)
 		stop()
+		if n.front.shutdown.begun() {
+			return // what comes next takes over from the old process, if that is still there
+		}
 	} else {
 		h.serving.Store(true)
 	}
@@ -260,7 +271,7 @@
 		}
 	}
 	h.serving.Store(true)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !n.front.shutdown.begun() {
 		n.log.Info("the old process has ended")
 		n.allow(holds{})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,6 +243,9 @@
 	n.log.Info("leaving")
 	schedule := n.front.shutdown
 	schedule.begin()
+	if n.handing != nil {
+		n.handing.giveBack()
+	}
 	ctx, cancel := n.leaveWithin()
 	defer cancel()
 	var wg sync.WaitGroup
