Take nothing off a client's connection once it counts as ended

Cause: endBetween decided under a lock that nothing waits to be read, while the goroutine that waited for the client read outside of it: bytes could leave the system before the node knew of them, or after the end, and were dropped. Class: look and act in two steps.

Change: framedConn.receive reads without waiting under the lock that ends the connection (RawConn.Read waits for the next look), and takes in with the same step that a message has begun.

--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -32,12 +32,13 @@
 // overlooks Transfer-Encoding in HTTP/1.0. The handler no longer sees either header, so the head is read here.
 type framedConn struct {
 	net.Conn
-	surplus []byte // read past the end of a head
-	line    []byte // the line of a head so far
-	begun   bool   // the request line has been read
-	next    head   // the head that is coming in
-	left    int64  // bytes of the body to come
-	last    bool   // where this message ends only its reader can tell: no other may follow on the connection
+	raw     syscall.RawConn // of the connection, once something has been read of it; nil where the system has none
+	surplus []byte          // read past the end of a head
+	line    []byte          // the line of a head so far
+	begun   bool            // the request line has been read
+	next    head            // the head that is coming in
+	left    int64           // bytes of the body to come
+	last    bool            // where this message ends only its reader can tell: no other may follow on the connection
 
 	opened time.Time
 	at     monotime.Atomic // when the last byte came; zero: none has
@@ -79,7 +80,7 @@
 		c.surplus = c.surplus[n:]
 	} else {
 		c.surplus = nil
-		if n, err = c.Conn.Read(p); n > 0 {
+		if n, err = c.receive(p); n > 0 {
 			c.at.Store(monotime.Now())
 		}
 	}
