--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -34,10 +34,28 @@
 	Executions []Execution
 	Attempts   []Attempt
 	Windows    []Window
+	Kills      []Kill
 	Drained    map[string]time.Time
 	Grace      time.Duration // drain grace
 }
 
+// Kill is the SIGKILL of a process that had been told to end, at the earliest. It excuses nothing.
+type Kill struct {
+	Node int
+	At   int64 // Unix time in nanoseconds
+}
+
+// foundAtKill tells whether a request that its client took for unread was ended by the kill of a process that had been told to
+// end: what that finds unanswered is lost, read or not (PROTOCOL).
+func (h History) foundAtKill(o Outcome) bool {
+	for _, k := range h.Kills {
+		if o.Resent && k.Node == o.Node && o.Crossed >= k.At && o.Crossed <= k.At+int64(resetWithin) {
+			return true
+		}
+	}
+	return false
+}
+
 const maxExamples = 10
 
 // Verify checks the invariants of docs/ROADMAP.md: a final answer for every request that no fault of its own
@@ -88,6 +106,10 @@
 func (h History) finalAnswers() Check {
 	c := Check{Name: "every request gets its final answer", Reasons: map[string]int{}}
 	for _, o := range h.Outcomes {
+		if h.foundAtKill(o) {
+			c.add(fmt.Sprintf("%s at node-%d: unanswered at the kill", o.Trace, o.Node))
+			continue
+		}
 		if !o.isUnanswered() {
 			continue
 		}
--- a/internal/lab/driver.go
+++ b/internal/lab/driver.go
@@ -30,7 +30,9 @@
 	Fresh  bool   `json:"fresh,omitempty"`  // it was the first on its connection
 	Early  string `json:"early,omitempty"`  // what its client did long before: see earlyHabits
 	Resent bool   `json:"resent,omitempty"` // it crossed the close of a kept connection and was sent once more
-	Error  string `json:"error,omitempty"`
+	// Crossed is when the close that it crossed was seen, a reset behind it included.
+	Crossed int64  `json:"crossed_ns,omitempty"`
+	Error   string `json:"error,omitempty"`
 }
 
 // answerGrace is how long after its deadline the driver still waits for a final answer (FLEET: half a second).
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -107,19 +107,23 @@
 		h      History
 		breaks string
 	}{
-		"gone in time":        {History{Outcomes: []Outcome{left}, Attempts: attempt("backend-0", 250*time.Millisecond, 0)}, ""},
-		"gone too long":       {History{Outcomes: []Outcome{left}, Attempts: attempt("backend-0", 400*time.Millisecond, 0)}, "no attempt begins after its client has left"},
-		"tells what is left":  {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-0", 500*time.Millisecond, 600)}, ""},
-		"tells too much":      {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-0", 500*time.Millisecond, 900)}, "no attempt tells more time than its client has left"},
-		"repeat in window":    {History{Outcomes: []Outcome{token}, Executions: runs(keyWindow)}, ""},
-		"repeat after window": {History{Outcomes: []Outcome{token}, Executions: runs(keyWindow + time.Second)}, "no keyed request runs again after its window"},
-		"unsafe twice":        {History{Outcomes: []Outcome{claim}, Executions: runs(time.Second)}, "no request runs twice or unasked"},
-		"drain, not told yet": {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-1", 1900*time.Millisecond, 0), Grace: time.Second}, ""},
-		"drain, told":         {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-1", 2200*time.Millisecond, 0), Grace: time.Second}, "nothing begins at a draining backend past the grace"},
-		"drain, over":         {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-1", 21*time.Second, 0), Grace: time.Second}, ""},
-		"held at a kill":      {History{Outcomes: []Outcome{broken}, Windows: kill}, ""},
-		"after a kill":        {History{Outcomes: []Outcome{late}, Windows: kill}, "every request gets its final answer"},
-		"no answer":           {History{Outcomes: []Outcome{broken}}, "every request gets its final answer"},
+		"gone in time":           {History{Outcomes: []Outcome{left}, Attempts: attempt("backend-0", 250*time.Millisecond, 0)}, ""},
+		"gone too long":          {History{Outcomes: []Outcome{left}, Attempts: attempt("backend-0", 400*time.Millisecond, 0)}, "no attempt begins after its client has left"},
+		"tells what is left":     {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-0", 500*time.Millisecond, 600)}, ""},
+		"tells too much":         {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-0", 500*time.Millisecond, 900)}, "no attempt tells more time than its client has left"},
+		"repeat in window":       {History{Outcomes: []Outcome{token}, Executions: runs(keyWindow)}, ""},
+		"repeat after window":    {History{Outcomes: []Outcome{token}, Executions: runs(keyWindow + time.Second)}, "no keyed request runs again after its window"},
+		"unsafe twice":           {History{Outcomes: []Outcome{claim}, Executions: runs(time.Second)}, "no request runs twice or unasked"},
+		"drain, not told yet":    {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-1", 1900*time.Millisecond, 0), Grace: time.Second}, ""},
+		"drain, told":            {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-1", 2200*time.Millisecond, 0), Grace: time.Second}, "nothing begins at a draining backend past the grace"},
+		"drain, over":            {History{Outcomes: []Outcome{claim}, Attempts: attempt("backend-1", 21*time.Second, 0), Grace: time.Second}, ""},
+		"held at a kill":         {History{Outcomes: []Outcome{broken}, Windows: kill}, ""},
+		"after a kill":           {History{Outcomes: []Outcome{late}, Windows: kill}, "every request gets its final answer"},
+		"unread, not at a kill":  {History{Outcomes: []Outcome{change(func(o *Outcome) { o.Resent, o.Crossed = true, at(0) })}, Kills: []Kill{{At: at(time.Second)}}}, ""},
+		"found by the kill":      {History{Outcomes: []Outcome{change(func(o *Outcome) { o.Resent, o.Crossed = true, at(time.Second) })}, Kills: []Kill{{At: at(time.Second)}}}, "every request gets its final answer"},
+		"run late, sent in time": {History{Outcomes: []Outcome{token}, Executions: runs(keyWindow + time.Second), Attempts: attempt("backend-1", keyWindow, 0), Grace: 5 * time.Second}, ""},
+		"before the killed one":  {History{Outcomes: []Outcome{broken}, Windows: []Window{{Node: 0, Kind: "kill", From: at(500 * time.Millisecond), Started: at(time.Millisecond)}}}, "every request gets its final answer"},
+		"no answer":              {History{Outcomes: []Outcome{broken}}, "every request gets its final answer"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, c := range append(Verify(tc.h), tc.h.verifySoak(drains, time.Time{})...) {
@@ -130,3 +134,42 @@
 		})
 	}
 }
+
+// upgradeSoak is the soak of upgrades in seconds, for the ordinary tests: series, successors that end, hanging backends, clients that
+// connect long before they ask, and, in one of its seeds, a crowd and a class of a minute.
+const upgradeSoak = `
+name = "short soak of upgrades"
+seed = 22
+duration = "7s"
+nodes = 3
+backends = 6
+grace = "1500ms"
+[load]
+rate = 90
+unsafe = 0.3
+keyed = 0.3
+late = 0.4
+improper = true
+[backend]
+service = "5ms"
+hangs = 0.02
+[soak]
+seeds = 3
+quiet = "1s"
+every = "900ms"
+bout = 1
+upgrades = true
+deadlines = ["650ms", "1s", "800ms"]
+long_class = "1m"
+crowd = 150
+`
+
+// Upgrades in series under clients that use their connections late break none of the checks.
+func TestShortSoakOfUpgradesKeepsTheInvariants(t *testing.T) {
+	t.Parallel()
+	r := runScenario(t, upgradeSoak)
+	requireChecks(t, r)
+	if r.Counts[kindServed] == 0 {
+		t.Errorf("too little to judge: %v", r.Counts)
+	}
+}
