Show that the lab finds faults planted in each way in which a process ends

Need: the incident's own fault passed the soak, as its clients never kept a connection for later; half requests, which it had, put off the end of the old process until nobody is late.

Change: three plants by the linker (an endless schedule at an upgrade, at a restart, and a node that is not taken back from a successor that ends), each found by the lab and absent without. Clients that connect early and those that begin a request are shares of their own; odd seeds of the soak have none of the latter.

--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -89,8 +89,10 @@
 	// send half a request and stay.
 	Keyed float64 `toml:"keyed"`
 	Leave float64 `toml:"leave"`
-	// Late is the share of clients that connect, or begin a request, long before they send the rest.
+	// Late is the share of clients that connect long before they ask, and Begun of those that begin a request long before its end.
+	// A new process of a node is not ready while one of the latter is with the old one.
 	Late     float64 `toml:"late"`
+	Begun    float64 `toml:"begun"`
 	Improper bool    `toml:"improper"`
 }
 
@@ -189,6 +191,8 @@
 		return tomlconf.Bad("load.leave", "%g is outside 0 to 1", s.Load.Leave)
 	case s.Load.Late < 0 || s.Load.Late > 1:
 		return tomlconf.Bad("load.late", "%g is outside 0 to 1", s.Load.Late)
+	case s.Load.Begun < 0 || s.Load.Late+s.Load.Begun > 1:
+		return tomlconf.Bad("load.begun", "%g is outside 0 to 1 less late", s.Load.Begun)
 	case s.Backend.Errors < 0 || s.Backend.Errors > 1:
 		return tomlconf.Bad("backend.errors", "%g is outside 0 to 1", s.Backend.Errors)
 	}
--- a/internal/lab/soak.go
+++ b/internal/lab/soak.go
@@ -44,6 +44,9 @@
 	if s.Seed%4 == 0 {
 		s.crowd = s.Soak.Crowd
 	}
+	if s.Seed%2 == 1 {
+		s.Load.Begun, s.Load.Improper = 0, false // which would put off each end of an old process until nobody is late
+	}
 	s.Faults = drawSoak(s)
 	return s
 }
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -149,6 +149,7 @@
 unsafe = 0.3
 keyed = 0.3
 late = 0.4
+begun = 0.05
 improper = true
 [backend]
 service = "5ms"
--- a/internal/node/handing.go
+++ b/internal/node/handing.go
@@ -315,7 +315,7 @@
 	if err == nil {
 		err = n.tellHolds(ctx, c, &done)
 	}
-	if !done && ctx.Err() == nil {
+	if !done && ctx.Err() == nil && plantShutdown != plantSuccessor {
 		// Also while this process leaves: the listener is both processes', and what waits there has nobody else.
 		n.handed(false)
 		n.allow(holds{})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -242,6 +242,7 @@
 func (n *Node) leave(srv *http.Server) error {
 	n.log.Info("leaving")
 	schedule := n.front.shutdown
+	n.front.plantSchedule()
 	schedule.begin()
 	if n.handing != nil {
 		n.handing.giveBack()
