Stop a program under the shim only at the calls that its plan names

Change: the shim starts itself, which sets a filter that asks the tracer about the plan's calls alone (by number, futex by its operation, clock_gettime by its clock) and becomes the program; it confines nothing. A call that is to fail is skipped at its entry, and a stop at the exit is asked for only where something has to be changed there. The vDSO is hidden only for plans that step the clock.

--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -114,10 +114,10 @@
 	return out
 }
 
-// underShim is the command line that runs a program under a plan, or as it is where there is none. The number sets the draws of
+// underShim is the command line that runs a program under a plan, or as it is where that is nil. The number sets the draws of
 // one child apart from another's.
 func (l *cluster) underShim(plan shim.Plan, number int, argv ...string) []string {
-	if len(plan) == 0 {
+	if plan == nil {
 		return argv
 	}
 	return append([]string{l.opts.Hitchvale, "lab", "shim", "--plan", plan.String(), "--seed", fmt.Sprint(l.seed + uint64(number)), "--"}, argv...)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -145,8 +145,11 @@
 			l.log.Error("node configuration not written", "node", name, "error", err)
 		}
 		var plan shim.Plan
-		if l.s.shimmed(i) {
+		switch {
+		case l.s.shimmed(i):
 			plan = drawPlan(l.s, i)
+		case l.s.emptyPlan:
+			plan = shim.Plan{}
 		}
 		return l.underShim(plan, i, l.opts.Glencart)
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -40,6 +40,7 @@
 
 	longClass time.Duration // the deadline that the settings give the class of claims; 0: the load's
 	crowd     int           // idle connections of clients to each node
+	emptyPlan bool          // nodes run under the shim, which changes nothing
 }
 
 // Duty is a lease scenario: Candidates processes want one duty with a TTL; each does Work between its check of
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -69,6 +70,11 @@
 	return string(text)
 }
 
+// has tells whether a plan has a fault of a kind.
+func (p Plan) has(kind Kind) bool {
+	return slices.ContainsFunc(p, func(f Fault) bool { return f.Kind == kind })
+}
+
 // share is the share of calls that a kind hits at a time.
 func (p Plan) share(kind Kind, at time.Duration) float64 {
 	for _, f := range p {
--- a/internal/shim/shim_test.go
+++ b/internal/shim/shim_test.go
@@ -19,6 +19,7 @@
 
 // TestMain also is the shim and the program that a test runs under it.
 func TestMain(m *testing.M) {
+	EnterChild()
 	switch os.Getenv("SHIM_TEST") {
 	case "shim":
 		plan, err := ParsePlan(os.Getenv("SHIM_PLAN"))
--- a/internal/shim/tracer_linux_amd64.go
+++ b/internal/shim/tracer_linux_amd64.go
@@ -44,7 +44,12 @@
 	runtime.LockOSThread() // ptrace knows its tracer by thread
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, unix.SIGTERM, unix.SIGHUP, unix.SIGINT) // and heed none
-	cmd := exec.Command(argv[0], argv[1:]...)
+	self, err := os.Executable()
+	if err != nil {
+		return 0, err
+	}
+	cmd := exec.Command(self, argv...)
+	cmd.Env = append(os.Environ(), stageVariable+"="+plan.String())
 	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, os.Stdout, os.Stderr
 	cmd.SysProcAttr = &unix.SysProcAttr{Ptrace: true, Pdeathsig: unix.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -59,19 +64,11 @@
 	return t.follow()
 }
 
-// thread is a thread of the program, between the entry of a system call and its exit.
+// thread is a thread of the program.
 type thread struct {
-	inside bool
-	call   uint64
-	args   [3]uint64
-	fails  unix.Errno // what the call is to end with; 0: what it does
-}
-
-// waits tells whether a call may be interrupted by a signal: of futex(2) only a wait may.
-func (th *thread) waits() bool {
-	const waitOperation, waitBitsetOperation, operationMask = 0, 9, 0x7f
-	operation := th.args[1] & operationMask
-	return th.call != unix.SYS_FUTEX || operation == waitOperation || operation == waitBitsetOperation
+	awaitsExit bool // it stops once more, when its present call has been made
+	call       uint64
+	args       [3]uint64
 }
 
 type tracer struct {
@@ -83,21 +80,29 @@
 	dialed  map[uint64]bool // descriptors of connections that the program has made itself
 }
 
-// begin prepares the program at its first stop, before its first instruction.
+// begin takes on the process that sets the filter, at its first stop.
 func (t *tracer) begin() error {
 	var status unix.WaitStatus
 	if _, err := unix.Wait4(t.pid, &status, unix.WALL, nil); err != nil {
 		return fmt.Errorf("waiting for the program: %w", err)
 	}
-	options := unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_EXITKILL
+	options := unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_TRACEEXEC | unix.PTRACE_O_TRACESECCOMP |
+		unix.PTRACE_O_EXITKILL
 	if err := unix.PtraceSetOptions(t.pid, options); err != nil {
 		return fmt.Errorf("ptrace: %w", err)
 	}
 	t.threads[t.pid] = &thread{}
-	if err := t.hideVDSO(); err != nil {
-		return err
+	return unix.PtraceCont(t.pid, 0)
+}
+
+// becameProgram takes in that the process that has set the filter is the program now, before its first instruction.
+func (t *tracer) becameProgram() {
+	t.threads = map[int]*thread{t.pid: {}}
+	if t.plan.has(Clock) {
+		if err := t.hideVDSO(); err != nil {
+			fmt.Fprintln(os.Stderr, "shim:", err)
+		}
 	}
-	return unix.PtraceSyscall(t.pid, 0)
 }
 
 // hideVDSO has the program read its clocks by system call. The stack holds argc, argv, the environment and the auxiliary
@@ -170,7 +175,12 @@
 			}
 			return status.ExitStatus(), nil
 		case status.Stopped():
-			unix.PtraceSyscall(id, int(t.stopped(id, status))) // a thread that has ended meanwhile is told of soon
+			sig := int(t.stopped(id, status))
+			if th := t.threads[id]; th != nil && th.awaitsExit {
+				unix.PtraceSyscall(id, sig)
+			} else {
+				unix.PtraceCont(id, sig) // a thread that has ended meanwhile is told of soon
+			}
 		}
 	}
 }
@@ -187,12 +197,14 @@
 		}
 		return t.stopped(id, status)
 	case sig == syscallStop:
-		th.inside = !th.inside
-		if th.inside {
-			t.enter(id, th)
-		} else {
-			t.leave(id, th)
-		}
+		th.awaitsExit = false
+		t.leave(id, th)
+		return 0
+	case sig == unix.SIGTRAP && status.TrapCause() == unix.PTRACE_EVENT_SECCOMP:
+		t.enter(id, th)
+		return 0
+	case sig == unix.SIGTRAP && status.TrapCause() == unix.PTRACE_EVENT_EXEC:
+		t.becameProgram()
 		return 0
 	case sig == unix.SIGTRAP:
 		return 0 // a clone
@@ -214,75 +226,70 @@
 	if unix.PtraceGetRegs(id, &regs) != nil {
 		return
 	}
-	th.call, th.args, th.fails = regs.Orig_rax, [3]uint64{regs.Rdi, regs.Rsi, regs.Rdx}, 0
+	th.call, th.args = regs.Orig_rax, [3]uint64{regs.Rdi, regs.Rsi, regs.Rdx}
+	var fails unix.Errno
 	switch th.call {
 	case unix.SYS_ACCEPT4, unix.SYS_ACCEPT:
 		if t.hits(Accept) {
-			th.fails = t.draw(acceptErrors)
+			fails = t.draw(acceptErrors)
 		}
 	case unix.SYS_SOCKET:
 		if t.hits(Connect) {
-			th.fails = t.draw(socketErrors)
+			fails = t.draw(socketErrors)
 		}
 	case unix.SYS_CONNECT:
 		if t.hits(Connect) {
-			th.fails = t.draw(connectErrors)
+			fails = t.draw(connectErrors)
 		}
 	case unix.SYS_EPOLL_PWAIT, unix.SYS_EPOLL_WAIT, unix.SYS_FUTEX, unix.SYS_NANOSLEEP:
-		if th.waits() && t.hits(Interrupt) {
-			th.fails = unix.EINTR
+		if t.hits(Interrupt) {
+			fails = unix.EINTR
 		}
 	case unix.SYS_READ:
 		if t.dialed[th.args[0]] && t.hits(Break) {
-			th.fails = t.draw(breakErrors)
+			fails = t.draw(breakErrors)
 		}
 	case unix.SYS_OPENAT:
 		if t.hits(Open) {
-			th.fails = t.draw(openErrors)
+			fails = t.draw(openErrors)
 		}
 	case unix.SYS_PWRITE64, unix.SYS_FSYNC, unix.SYS_FDATASYNC, unix.SYS_FTRUNCATE:
 		if t.hits(Disk) {
-			th.fails = t.draw(diskErrors)
+			fails = t.draw(diskErrors)
 		}
 	case unix.SYS_CLOSE:
 		delete(t.dialed, th.args[0])
 	}
 	switch {
-	case th.fails != 0:
+	case fails != 0:
 		regs.Orig_rax = noCall
+		regs.Rax = uint64(-int64(fails))
 		unix.PtraceSetRegs(id, &regs)
+	case th.call == unix.SYS_CONNECT:
+		th.awaitsExit = t.plan.has(Break)
+	case th.call == unix.SYS_CLOCK_GETTIME:
+		th.awaitsExit = t.plan.step(time.Since(t.start)) != 0
 	case (th.call == unix.SYS_READ || th.call == unix.SYS_WRITE) && th.args[2] >= shortLeast && t.hits(Short) && t.isSocket(th.args[0]):
 		regs.Rdx = 1 + t.rng.Uint64N(th.args[2]-1)
 		unix.PtraceSetRegs(id, &regs)
+		th.awaitsExit = true
 	}
 }
 
 // leave looks at a call that has been made, and may change what came of it.
 func (t *tracer) leave(id int, th *thread) {
-	switch {
-	case th.fails != 0:
-		t.setResult(id, -int64(th.fails))
-	case th.call == unix.SYS_CONNECT:
+	switch th.call {
+	case unix.SYS_CONNECT:
 		t.dialed[th.args[0]] = true
-	case th.call == unix.SYS_CLOCK_GETTIME && th.args[0] == unix.CLOCK_REALTIME:
+	case unix.SYS_CLOCK_GETTIME:
 		if step := t.plan.step(time.Since(t.start)); step != 0 {
 			t.stepClock(id, uintptr(th.args[1]), step)
 		}
-	}
-	if th.call == unix.SYS_READ || th.call == unix.SYS_WRITE {
+	case unix.SYS_READ, unix.SYS_WRITE:
 		t.restoreCount(id, th)
 	}
 }
 
-func (t *tracer) setResult(id int, result int64) {
-	var regs unix.PtraceRegs
-	if unix.PtraceGetRegs(id, &regs) != nil {
-		return
-	}
-	regs.Rax = uint64(result)
-	unix.PtraceSetRegs(id, &regs)
-}
-
 // restoreCount gives a thread back the register that a short transfer has changed: the kernel leaves it to the caller.
 func (t *tracer) restoreCount(id int, th *thread) {
 	var regs unix.PtraceRegs
