Let places of attempts that were given up stand longer than those of failed ones

An attempt that was never accepted holds no place; one that ran out of time, or whose client left, may still stand in its server's queue. Counted as gone it had more sent there until answers came late. Class: two reasons for one mark.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -17,7 +17,7 @@
 // coldTime is how long a cold server would take for a request, behind what is known to be there. Of others
 // that is what was told lately, and not the usual: what they send is bounded like this node's own.
 func (b *Balancer) coldTime(r *request, s *server) float64 {
-	queue := s.out + s.stuck + s.told*b.fresh(s, b.usual(s))
+	queue := s.out + s.stuck + s.left + s.told*b.fresh(s, b.usual(s))
 	return (b.work(r) + queue*b.warmPace(s)) / b.warmth(s)
 }
 
--- a/balance/cordon.go
+++ b/balance/cordon.go
@@ -43,7 +43,7 @@
 // renew forgets what was known of a server's old process. What was out there is lost with it; its outcomes are still
 // to come.
 func (b *Balancer) renew(s *server) {
-	s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
+	s.more, s.told, s.stuck, s.left, s.credit, s.since, s.served = 0, 0, 0, 0, 0, b.now, 0
 	s.time, s.fails, s.failed, s.owesAt = 0, 0, false, b.now
 }
 
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -7,9 +7,9 @@
 
 // This file estimates what stands at a server and how long a request would wait there.
 
-// entry is the queue estimate: what other nodes have there, what this node has out, and what
-// was not accepted.
-func (b *Balancer) entry(s *server) float64 { return b.others(s) + s.out + s.stuck }
+// entry is the queue estimate: what other nodes have there, what this node has out, what was not accepted, and what was given
+// up and may still stand there.
+func (b *Balancer) entry(s *server) float64 { return b.others(s) + s.out + s.stuck + s.left }
 
 // cost is the entry weighed by the time that one place in this server's queue has taken lately: the time in
 // which an average request would be answered, with the time that failures are worth.
--- a/balance/learning.go
+++ b/balance/learning.go
@@ -103,6 +103,7 @@
 		b.grantCold(s)
 		s.fails -= failFade * s.fails
 		s.stuck -= stuckFade * s.stuck // a report may be long in coming, or never come
+		s.left -= abandonedFade * s.left
 		if s.heard < b.rolledAt && s.time > 0 {
 			// A server that looked slow gets no traffic, so nothing would ever clear its name.
 			s.time += forget * (b.peerPace*(s.depth+1) - s.time)
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -39,7 +39,7 @@
 	case l.Has&HasActive == 0:
 		queue = l.Waiting
 	}
-	s.stuck = 0
+	s.stuck, s.left = 0, 0
 	age, first := (b.now - s.seenAt).Seconds(), s.seenAt == 0
 	switch {
 	case first:
--- a/balance/requests.go
+++ b/balance/requests.go
@@ -167,11 +167,7 @@
 		a.to.out--
 	}
 	r.spoilt = r.spoilt || ev.Spoilt
-	if ev.Status != Delivered && ev.Status != Revoked && ev.Status != Unused {
-		// Not accepted: it keeps its increment until a report, or until that fades, against a server that
-		// fails fast and so looks idle.
-		a.to.stuck++
-	}
+	b.leavePlace(a, ev)
 	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding, and so
 	// does one that no queue accounts for.
 	if !a.open && (ev.Status != Expired || a.to.owesAt > a.at && !b.lost(a, ev.Spent) && !a.lost) {
@@ -196,6 +192,19 @@
 	}
 }
 
+// leavePlace keeps the increment of an attempt that has ended where its server may still have it, or has not accepted it, until a
+// report or until that fades.
+func (b *Balancer) leavePlace(a *attempt, ev *Event) {
+	gaveUp := ev.Status == Expired || ev.Status == Revoked
+	switch {
+	case gaveUp && !a.lost && !b.lost(a, ev.Spent):
+		a.to.left++ // its work may still stand in the queue there
+	case ev.Status == Delivered, ev.Status == Revoked, ev.Status == Unused:
+	default:
+		a.to.stuck++ // else a server that fails fast looks idle
+	}
+}
+
 // answer gives the final answer that the rules allow: a refusal where trying again is harmless.
 func (b *Balancer) answer(r *request) {
 	if r.ended {
--- a/balance/servers.go
+++ b/balance/servers.go
@@ -19,6 +19,7 @@
 	owesAt time.Duration // its last sign, or the send since when something is out
 	out    float64       // attempts of this node that are out
 	stuck  float64       // attempts not accepted since the last report
+	left   float64       // attempts given up since then whose work may still stand in the queue
 	seen   float64       // the last queue reported
 	seenAt time.Duration // when it was first seen
 	time   float64       // running mean of the time of an answer, seconds
