Count a revoked attempt that must have been lost as one that failed

In a crowd a wait of three expected queues is taken for a loss, as the expectation is too low, and what clients leave then counted for nothing.

--- a/balance/requests.go
+++ b/balance/requests.go
@@ -197,11 +197,11 @@
 func (b *Balancer) leavePlace(a *attempt, ev *Event) {
 	gaveUp := ev.Status == Expired || ev.Status == Revoked
 	switch {
+	case ev.Status == Delivered, ev.Status == Unused:
 	case gaveUp && !a.lost && !b.lost(a, ev.Spent):
 		a.to.left++ // its work may still stand in the queue there
-	case ev.Status == Delivered, ev.Status == Revoked, ev.Status == Unused:
 	default:
-		a.to.stuck++ // else a server that fails fast looks idle
+		a.to.stuck++ // not accepted, or lost: else a server that fails fast looks idle
 	}
 }
 
--- a/balance/signs_test.go
+++ b/balance/signs_test.go
@@ -223,3 +223,18 @@
 		}
 	}
 }
+
+// One that must have been lost was not accepted, whoever ended it: it leaves the place of a failed attempt.
+func TestPlaceOfALostAttemptIsThatOfAFailedOne(t *testing.T) {
+	r := newRig(t, site(), member(1, 0, 0))
+	r.serve(50, safe, steady)
+	s := r.b.servers[1]
+	s.stuck, s.left = 0, 0
+	r.arrive("x", unsafe)
+	r.b.requests["x"].attempts[0].lost = true
+	s.out--
+	r.outcome("x", 0, 1, Revoked)
+	if s.stuck != 1 || s.left != 0 {
+		t.Errorf("%v places of failed attempts, %v of abandoned ones", s.stuck, s.left)
+	}
+}
