Answer the calls that a replica has taken before it ends

Cause: Serve closed the HTTP server when it was told to end, which cuts calls off, writes that may be done among them: the incident's class (a process that ends under what it has taken) in the registry. Ruled out elsewhere: the node's second address answers a call within a second and ends with the node; the fleet's agent and the leases' client hold nothing for others.

Change: watches end at once with what they have, other calls have a second, then the server is closed.

Measured: TestReplicaToldToEndAnswersWhatItHas failed before (EOF) and passes; internal/registry, lease, fleet and rota pass.

--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -76,22 +76,34 @@
 	})
 }
 
-// Serve answers on ln until ctx ends.
+// endWithin is how long a replica that ends waits for the calls that it has taken: a write may wait for a majority that has gone.
+const endWithin = time.Second
+
+// Serve answers on ln until ctx ends, and then what it has taken. Watches end at once.
 func (r *Replica) Serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 5 * time.Second}
-	done := make(chan struct{})
-	defer close(done)
+	lost, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		select {
 		case <-ctx.Done():
-		case <-done:
+		case <-lost:
+		}
+		r.endWatches()
+		last, cancel := context.WithTimeout(context.Background(), endWithin)
+		defer cancel()
+		if err := srv.Shutdown(last); err != nil {
+			srv.Close()
 		}
-		srv.Close()
 	}()
-	if err := srv.Serve(retrying(ln, r.log)); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := srv.Serve(retrying(ln, r.log))
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	} else {
+		close(lost)
 	}
-	return nil
+	<-ended
+	return err
 }
 
 // retrying has a listener wait out errors of accept that pass, and log them at a bounded rate.
@@ -179,6 +191,8 @@
 		case <-next:
 		case <-t.C:
 			return l, r.fresh()
+		case <-r.ending:
+			return l, r.fresh()
 		case <-ctx.Done():
 			return l, false
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -119,6 +119,30 @@
 	c.replicas[i], c.stops[i] = r, func() { cancel(); <-served }
 }
 
+// Calls that a replica has taken when it is told to end get their answers: closing the server cut them off, as the end of a
+// node did with requests (docs/incidents/2026-12-03-upgrade.md). Whoever wrote would not know whether that was done.
+func TestReplicaToldToEndAnswersWhatItHas(t *testing.T) {
+	c := newCluster(t, 1)
+	r := c.replicas[0]
+	await(t, "a leader", func() bool { return r.Leader() && r.fresh() })
+	var revision int64
+	r.fsm.read(func(s *State) { revision = s.Revision })
+	answered := make(chan error, 1)
+	go func() {
+		resp, err := http.Get(fmt.Sprintf("http://%s/registry/instances?after=%d&wait_ms=60000", c.http[0], revision))
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		answered <- err
+	}()
+	await(t, "the watch", func() bool { return r.watching.Load() > 0 })
+	c.stop(0)
+	if err := <-answered; err != nil {
+		t.Errorf("the watch was cut off: %v", err)
+	}
+}
+
 // stop ends replica i, as a crash would, but with its files whole.
 func (c *cluster) stop(i int) {
 	if c.replicas[i] == nil {
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -43,7 +43,9 @@
 	rota     *rota.Rota      // likewise
 	fleet    *fleetSide
 
-	watching atomic.Int64 // watches waiting now
+	watching   atomic.Int64  // watches waiting now
+	ending     chan struct{} // closed when they are to end
+	endWatches func()        // closes it, once
 	// readyTerm is the term in which this replica, as leader, applied everything committed before it led (a
 	// barrier): until then a new leader's state may lack acknowledged writes of the old one, and it must not read.
 	readyTerm atomic.Uint64
@@ -93,6 +95,8 @@
 		rota: turns,
 		fsm:  &fsm{st: state, notify: make(chan struct{})}, beats: map[string]time.Time{},
 		fleet: newFleetSide(cfg.FleetInterval.Duration)}
+	r.ending = make(chan struct{})
+	r.endWatches = sync.OnceFunc(func() { close(r.ending) })
 	r.metrics = newMetrics(r)
 	if err := r.start(ln); err != nil {
 		store.Close()
