--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -142,6 +142,9 @@
 
 // killAtEarliest kills a process that was told to end, and notes that it still ran.
 func (l *loadRun) killAtEarliest(i int, p *Proc) {
+	if p.Exited() == nil {
+		return // it has ended by itself
+	}
 	l.mu.Lock()
 	l.kills = append(l.kills, Kill{Node: i, At: time.Now().UnixNano()})
 	l.mu.Unlock()
