--- a/internal/node/cordon.go
+++ b/internal/node/cordon.go
@@ -211,8 +211,8 @@
 }
 
 // Cordon leaves a backend out, or puts it back. It returns when that stands in the file and the module knows.
-func (t told) Cordon(ctx context.Context, id string, out bool) error {
-	l := t.n.loop
+func (v adminView) Cordon(ctx context.Context, id string, out bool) error {
+	l := v.n.loop
 	heard := false
 	var known cordons
 	if err := l.ask(ctx, func() {
@@ -224,7 +224,7 @@
 	if !heard {
 		return admin.ErrUnknown
 	}
-	c, err := t.n.cordons.change(ctx, known, id, out, wallClock())
+	c, err := v.n.cordons.change(ctx, known, id, out, wallClock())
 	if err != nil {
 		return err
 	}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -46,7 +46,7 @@
 	if n := receive(t, "the end of the read", read); n > 0 {
 		t.Errorf("%d bytes served after the end", n)
 	}
-	if lookAt(server.(*net.TCPConn)) != bytesWait {
+	if peekAt(server.(*net.TCPConn)) != bytesWait {
 		t.Error("what came after the end was read and dropped")
 	}
 }
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -209,17 +209,17 @@
 func (c *framedConn) endBetween(evenBegun bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.serving || len(c.heads) > 0 || !evenBegun && (c.partly || c.look() == bytesWait) {
+	if c.ended || c.serving || len(c.heads) > 0 || !evenBegun && (c.partly || c.peek() == bytesWait) {
 		return false
 	}
 	c.ended = true
 	return true
 }
 
-// look tells what has come on the connection and was not read.
-func (c *framedConn) look() sight {
+// peek tells what has come on the connection and was not read.
+func (c *framedConn) peek() peeked {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
-		return lookAt(sc)
+		return peekAt(sc)
 	}
 	return nothingWaits
 }
@@ -228,7 +228,7 @@
 // may hide it for the moment that reading ahead takes.
 func (c *framedConn) gone() bool {
 	for range 8 {
-		switch c.look() {
+		switch c.peek() {
 		case nothingWaits:
 			return false
 		case peerLeft:
--- a/internal/node/handing_test.go
+++ b/internal/node/handover_test.go
@@ -143,7 +143,7 @@
 }
 
 // handingOver starts a process with one backend, and claims its listener as the next process does.
-func handingOver(t *testing.T) (old *started, h *handing) {
+func handingOver(t *testing.T) (old *started, h *handover) {
 	t.Helper()
 	dir := t.TempDir()
 	list := listText(1, true, listed{id: "s-a", addr: echo(t).Addr().String(), phase: "ready"})
@@ -151,13 +151,13 @@
 	eventually(t, "the old process is ready", func() bool { return healthy(t, old) })
 	cfg := old.cfg
 	cfg.Listen = old.Addr().String()
-	h = newHanding(cfg, quiet())
+	h = newHandover(cfg, quiet())
 	eventually(t, "the old process hands over", func() bool { h.claim(); return h.inherited != nil })
 	return old, h
 }
 
 // A new process that ends before the old one is told to gives the node back.
-func TestHeirThatEndsGivesBack(t *testing.T) {
+func TestSuccessorThatEndsGivesBack(t *testing.T) {
 	old, h := handingOver(t)
 	if got, ok := h.list(old.cfg); !ok || got.Members[0].ID != "s-a" || got.Revision != 1 {
 		t.Errorf("list %+v", got)
@@ -179,7 +179,7 @@
 
 // A new process that ends while the old one, which was told to end, still leaves: what waits for the one that has gone is
 // served by the old one, before it closes the listener that both had.
-func TestHeirThatEndsWhileTheOldProcessLeaves(t *testing.T) {
+func TestSuccessorThatEndsWhileTheOldProcessLeaves(t *testing.T) {
 	old, h := handingOver(t)
 	if _, _, err := h.take(); err != nil {
 		t.Fatal(err)
@@ -356,7 +356,7 @@
 	defer resp.Body.Close()
 	next := process(t, dir, old.Addr().String(), list)
 	eventually(t, "it is handed over", func() bool { return old.front.handed.Load() })
-	if next.handing.serving.Load() && time.Since(next.handing.start) < settleWithin {
+	if next.handover.serving.Load() && time.Since(next.handover.start) < settleWithin {
 		t.Error("the new process says yes while the old one is at work")
 	}
 	old.stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,7 @@
 	backends int           // and to backends
 	admin    *admin.Server // nil: none is told
 	cordons  *cordonFile   // where there is an admin
-	handing  *handing      // likewise
+	handover *handover     // likewise
 	fleet    *fleetPart    // where the configuration has a part in the fleet
 
 	firstList time.Duration // how long Run waits for a pushed list before the node is ready without
@@ -61,9 +61,9 @@
 	n.metrics = newMetrics(n.figures)
 	limits := cfg.Settings.Config.Limits
 	if cfg.Admin != "" {
-		n.handing = newHanding(cfg, log)
-		n.handing.claim()
-		if list, ok := n.handing.list(cfg); ok {
+		n.handover = newHandover(cfg, log)
+		n.handover.claim()
+		if list, ok := n.handover.list(cfg); ok {
 			n.cfg.Known = list
 		}
 	}
@@ -116,18 +116,18 @@
 	if n.cfg.Admin != "" {
 		n.cordons = newCordonFile(n.cfg.StateDir, n.cfg.Name, n.log)
 		if n.admin, err = accept.Open(func() (*admin.Server, error) {
-			return admin.Listen(n.cfg.Admin, told{n}, n.log)
+			return admin.Listen(n.cfg.Admin, adminView{n}, n.log)
 		}, n.waitsFor(n.cfg.Admin)); err != nil {
 			return err
 		}
 	}
-	if n.handing != nil && n.handing.inherited != nil {
-		n.listener = limitListener(n.handing.inherited, 0)
+	if n.handover != nil && n.handover.inherited != nil {
+		n.listener = limitListener(n.handover.inherited, 0)
 		n.listener.rest(true) // until the old process says that it has stopped
 		return nil
 	}
 	lc := net.ListenConfig{}
-	if n.handing != nil {
+	if n.handover != nil {
 		lc.Control = sharePort // with an old process that does not answer
 	}
 	l, err := accept.Open(func() (net.Listener, error) {
@@ -155,8 +155,8 @@
 	if n.admin != nil {
 		n.admin.Close()
 	}
-	if n.handing != nil {
-		n.handing.close()
+	if n.handover != nil {
+		n.handover.close()
 	}
 }
 
@@ -183,7 +183,7 @@
 		})
 	}
 	// A pushed list counts as told from the first moment of a process, so it must not serve on an older one.
-	n.loop.untold = !n.cfg.Settings.Config.AskDiscovery && (n.handing == nil || n.handing.inherited == nil)
+	n.loop.untold = !n.cfg.Settings.Config.AskDiscovery && (n.handover == nil || n.handover.inherited == nil)
 	first := time.AfterFunc(n.firstList, func() { n.loop.post(n.loop.waitNoLonger) })
 	defer first.Stop()
 	known := n.cfg.Known
@@ -220,7 +220,7 @@
 	n.log.Info("told", "nodes", site.Instances, "index", site.Index, "zone", site.Zone, "limits", site.Limits,
 		"prices", site.Prices, "rules", site.Rules, "classes", site.Classes, "machine", n.cfg.Limits)
 	var replaced chan struct{} // stays nil where nobody can
-	if n.handing != nil {
+	if n.handover != nil {
 		replaced = make(chan struct{})
 		wg.Go(func() { n.succession(work, replaced) })
 	}
@@ -244,8 +244,8 @@
 	schedule := n.front.shutdown
 	n.front.plantSchedule()
 	schedule.begin()
-	if n.handing != nil {
-		n.handing.giveBack()
+	if n.handover != nil {
+		n.handover.giveBack()
 	}
 	ctx, cancel := n.leaveWithin()
 	defer cancel()
--- a/internal/node/sight.go
+++ b/internal/node/peek.go
@@ -2,11 +2,11 @@
 
 import "syscall"
 
-// sight is what a look at the receiving side of a connection shows.
-type sight int
+// peeked is what a look at the receiving side of a connection shows.
+type peeked int
 
 const (
-	nothingWaits sight = iota
+	nothingWaits peeked = iota
 	bytesWait
 	peerLeft // it has closed its side or reset the connection, or this side has
 )
@@ -14,8 +14,8 @@
 // looksMost is how often a look that a signal interrupts is made. One that always is shows nothing.
 const looksMost = 8
 
-// lookAt tells what has come on a connection and was not read, and reads none of it.
-func lookAt(c syscall.Conn) sight {
+// peekAt tells what has come on a connection and was not read, and reads none of it.
+func peekAt(c syscall.Conn) peeked {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return peerLeft
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -83,7 +83,7 @@
 			p.idled(c)
 			return nil, ctx.Err()
 		}
-		switch c.sight() {
+		switch c.peek() {
 		case nothingWaits:
 			return c, nil
 		case bytesWait:
@@ -270,14 +270,14 @@
 	return list
 }
 
-// sight tells whether an idle connection is still up, with nothing unread on it. A backend that was restarted under its
+// peek tells whether an idle connection is still up, with nothing unread on it. A backend that was restarted under its
 // old address leaves connections behind that would swallow a request.
-func (c *conn) sight() sight {
+func (c *conn) peek() peeked {
 	if c.read.Buffered() > 0 {
 		return bytesWait
 	}
 	if sc, ok := c.Conn.(syscall.Conn); ok {
-		return lookAt(sc)
+		return peekAt(sc)
 	}
 	return peerLeft // nobody can tell
 }
