--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,7 +50,7 @@
 	// slowly, goes on telling that the server fails.
 	stuckFade = 0.6
 	// abandonedFade is that part for attempts that were given up: their work may still stand in the queue.
-	abandonedFade = 0.25
+	abandonedFade = 0.4
 	// failsHigh and failsLow are the rates of failures that the log tells: above a single one, and none. A
 	// silence is charged beyond silentQueues times what the queue should take.
 	failsHigh, failsLow, silentQueues = 0.11, 0.02, 2
