--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -59,14 +59,14 @@
 	c.closed = !admitted
 }
 
-// kept takes the connection that was used last, or nil.
+// kept takes the connection that was used last and that the node has not ended since, or nil.
 func (c *client) kept() *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.idle) > 0 {
 		conn := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
-		if time.Since(conn.idleAt) < keepIdle {
+		if time.Since(conn.idleAt) < keepIdle && !ended(conn.Conn) {
 			return conn
 		}
 		conn.Close()
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -145,6 +145,7 @@
 	if p.Exited() == nil {
 		return // it has ended by itself
 	}
+	l.log.Info("still ran at its earliest kill", "component", "lab", "process", p.Name)
 	l.mu.Lock()
 	l.kills = append(l.kills, Kill{Node: i, At: time.Now().UnixNano()})
 	l.mu.Unlock()
