--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -52,24 +52,25 @@
 func planted(t *testing.T, variable string) (glencart, hitchvale string) {
 	t.Helper()
 	glencart, _ = binaries(t)
-	hitchvale = filepath.Join(t.TempDir(), "hitchvale")
-	if out, err := exec.Command("go", "build", "-o", hitchvale, "-ldflags", "-X glencart/internal/"+variable,
-		"glencart/cmd/hitchvale").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return glencart, hitchvale
+	return glencart, buildPlanted(t, "hitchvale", variable)
 }
 
 // plantedNode builds the node with a planted fault.
 func plantedNode(t *testing.T, variable string) (glencart, hitchvale string) {
 	t.Helper()
 	_, hitchvale = binaries(t)
-	glencart = filepath.Join(t.TempDir(), "glencart")
-	if out, err := exec.Command("go", "build", "-o", glencart, "-ldflags", "-X glencart/internal/node."+variable,
-		"glencart/cmd/glencart").CombinedOutput(); err != nil {
+	return buildPlanted(t, "glencart", "node."+variable), hitchvale
+}
+
+// buildPlanted builds a program with a variable of a package under internal set.
+func buildPlanted(t *testing.T, program, variable string) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), program)
+	if out, err := exec.Command("go", "build", "-o", path, "-ldflags", "-X glencart/internal/"+variable,
+		"glencart/cmd/"+program).CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	return glencart, hitchvale
+	return path
 }
 
 func runScenario(t *testing.T, text string) Report {
