Count the lab's earliest kill from the first SIGTERM; drop a stale comment and a needless conversion

A second SIGTERM put off the time from which the lab excuses no kill, so the restart that follows the first one counted as a kill that excuses what the node held: the judge was lenient in one of the soak's troubles.

Change: the first signal counts until the node is started again.

--- a/internal/lab/driver.go
+++ b/internal/lab/driver.go
@@ -28,7 +28,7 @@
 	Status int    `json:"status"`            // 0: no answer
 	Kind   string `json:"kind"`
 	Fresh  bool   `json:"fresh,omitempty"`  // it was the first on its connection
-	Early  string `json:"early,omitempty"`  // what its client did long before: see earlyHabits
+	Early  string `json:"early,omitempty"`  // what its client did long before: an earlyHabit
 	Resent bool   `json:"resent,omitempty"` // it crossed the close of a kept connection and was sent once more
 	// Crossed is when the close that it crossed was seen, a reset behind it included.
 	Crossed int64  `json:"crossed_ns,omitempty"`
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -112,7 +112,9 @@
 		return
 	}
 	l.mu.Lock()
-	l.toldToEnd[i] = time.Now()
+	if l.toldToEnd[i].IsZero() { // a second signal puts no kill off
+		l.toldToEnd[i] = time.Now()
+	}
 	l.mu.Unlock()
 	l.later(ctx, frontDelay, func() { l.clients[i].admit(false) })
 }
--- a/internal/lab/habits.go
+++ b/internal/lab/habits.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -125,5 +124,5 @@
 	if begins {
 		io.WriteString(conn, "GET /api HTTP/1.1\r\nHost: api.internal\r\nX-Tra")
 	}
-	io.Copy(io.Discard, net.Conn(conn))
+	io.Copy(io.Discard, conn)
 }
