--- a/review/casekit/case_hung_upload.go
+++ b/review/casekit/case_hung_upload.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// hungUpload sends some requests with bodies of 3 to 5 MB at once. With the disruption one of the two backends hangs: its
-// machine accepts connections, and the process reads nothing and answers nothing.
+// hungUpload sends some requests with bodies of 3 to 5 MB at once. With the disruption one of the two backends hangs:
+// its machine accepts connections, and the process reads nothing and answers nothing.
 func hungUpload(w *world) (string, error) {
 	const (
 		clients = 6
