--- a/review/casekit/case_late_answer.go
+++ b/review/casekit/case_late_answer.go
@@ -69,7 +69,7 @@
 	n.w.note("client: %s: answer %d %q, error %v", r.id, status, body, err)
 	switch {
 	case err != nil:
-		return fmt.Sprintf("%s got no answer: %v", r.id, err), nil
+		return "", fmt.Errorf("%w: %s got no answer: %w", errNotRun, r.id, err)
 	case status == http.StatusOK && body != "done "+r.id:
 		return fmt.Sprintf("%s was answered 200 with %q, the answer to another request", r.id, body), nil
 	}
