Review case 1: the same fault makes a shift-claim run twice

An answer that turns a request away and comes a second time is taken for the answer to the next request on the connection, which then goes out again though it runs.

--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -17,9 +17,10 @@
 
 // cases are the cases by name. Each reports what broke the rule; an empty text means that the rule held.
 var cases = map[string]func(*world) (broken string, err error){
-	"late-answer": lateAnswer,
-	"slow-body":   slowBody,
-	"hung-upload": hungUpload,
+	"late-answer":  lateAnswer,
+	"late-refusal": lateRefusal,
+	"slow-body":    slowBody,
+	"hung-upload":  hungUpload,
 }
 
 func main() { os.Exit(runCase(os.Args)) }
