--- a/internal/node/client_server.go
+++ b/internal/node/client_server.go
@@ -34,13 +34,14 @@
 // clientServer is the HTTP handler for clients. It reads requests, passes them to the event loop and writes the
 // responses. It is safe for concurrent use.
 type clientServer struct {
-	loop     *eventLoop
-	settings siteconfig.Settings
-	warnings *lograte.Limited
-	log      *slog.Logger
-	counters *counters
-	shutdown *shutdownSchedule
-	conns    *connTracker
+	loop      *eventLoop
+	settings  siteconfig.Settings
+	warnings  *lograte.Limited
+	unwritten *lograte.Limited // logs responses that could not be written
+	log       *slog.Logger
+	counters  *counters
+	shutdown  *shutdownSchedule
+	conns     *connTracker
 
 	maxInFlight int64
 	inFlight    atomic.Int64
@@ -60,6 +61,7 @@
 		loop:        loop,
 		settings:    settings,
 		warnings:    &lograte.Limited{Log: log},
+		unwritten:   &lograte.Limited{Log: log},
 		log:         log,
 		counters:    loop.counters,
 		shutdown:    schedule,
@@ -118,7 +120,7 @@
 	if head.Err != nil {
 		s.warnings.Warn("request with malformed framing rejected", "fault", head.Err, "from", hr.RemoteAddr)
 		// This closes the connection, since the start of the next request is unknown.
-		rejectWithText(w, hr, http.StatusBadRequest, head.Err.Error())
+		s.reportUnwritten(hr, head.Start, rejectWithText(w, hr, http.StatusBadRequest, head.Err.Error()))
 		return
 	}
 	if head.LastOnConnection {
@@ -135,6 +137,7 @@
 	if s.inFlight.Add(1) > s.maxInFlight {
 		s.inFlight.Add(-1)
 		s.rejectOverload(w, hr)
+		s.reportUnwritten(hr, head.Start, flushResponse(w))
 		return
 	}
 	defer s.inFlight.Add(-1)
@@ -168,7 +171,7 @@
 		if notAdmitted && status == http.StatusRequestTimeout {
 			status = http.StatusServiceUnavailable // the shutdown interrupted the read, and nothing was forwarded
 		}
-		rejectWithText(w, hr, status, err.Error())
+		s.reportUnwritten(hr, start, rejectWithText(w, hr, status, err.Error()))
 		return
 	}
 	defer s.bodyMemory.release(r.bodyBytes)
@@ -183,7 +186,8 @@
 	if notAdmitted {
 		s.warnings.Warn("request rejected during shutdown", "request", r.id, "class", r.class)
 		s.counters.recordOutcome(r.class, responseRejected)
-		rejectWithText(w, hr, http.StatusServiceUnavailable, "this process is shutting down and rejects new requests")
+		const reason = "this process is shutting down and rejects new requests"
+		s.reportUnwritten(hr, start, rejectWithText(w, hr, http.StatusServiceUnavailable, reason))
 		return
 	}
 	if r.forwarded.upload != nil {
@@ -239,16 +243,31 @@
 	// The outcome is recorded before the last byte is written, so that a client which has read the whole response finds
 	// it in the statistics.
 	err := writeResponse(w, response, func() { recorder.finish(response.kind) })
-	if bodyOpen {
+	if err == nil {
 		// The response must not wait for the rest of the request's body, which may take long to arrive.
-		http.NewResponseController(w).Flush()
-	}
-	if err != nil {
+		s.reportUnwritten(hr, r.startedAt, flushResponse(w))
+	} else {
 		s.warnings.Warn("response not passed on completely, closing the client's connection", "error", err)
 		abortResponse(w, hr.ProtoAtLeast(1, 1) || response.stream.size >= 0)
 	}
 }
 
+// reportUnwritten counts and logs a response that could not be written to its client, if err is not nil. start is when
+// the first byte of the request arrived.
+func (s *clientServer) reportUnwritten(hr *http.Request, start time.Time, err error) {
+	if err == nil {
+		return
+	}
+	s.counters.recordUnwritten(err)
+	sinceLastByte := time.Duration(0)
+	if c, ok := clientConnOf(hr.Context()); ok {
+		lastByteAt, _ := c.lastActivity()
+		sinceLastByte = time.Since(lastByteAt)
+	}
+	s.unwritten.Warn("response not written, its client has no answer", "request", hr.Header.Get("X-Trace-Id"),
+		"error", err, "since_first_byte", time.Since(start), "since_last_byte", sinceLastByte)
+}
+
 // requestRecorder records one request in the counters: that it is pending, and its outcome. Any goroutine may call
 // begin; only one goroutine may call finish.
 type requestRecorder struct {
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -22,6 +22,9 @@
 	attempts [balance.StatusNotSent + 1]atomic.Int64 // ended attempts, by status
 	retries  atomic.Int64                            // attempts of requests that had an attempt before
 	closes   closeCounters
+
+	unwrittenTimeout atomic.Int64 // responses not written to their client, because a write timed out
+	unwrittenClosed  atomic.Int64 // responses not written to their client, because its connection had ended
 }
 
 // classOutcomes counts the requests of a class by outcome. Each request is counted once.
@@ -49,6 +52,15 @@
 	}
 }
 
+// recordUnwritten counts a response that could not be written to its client because of err.
+func (c *counters) recordUnwritten(err error) {
+	if timedOut(err) {
+		c.unwrittenTimeout.Add(1)
+	} else {
+		c.unwrittenClosed.Add(1)
+	}
+}
+
 // trackPending returns two functions for one request: begin counts the request as pending, and end ends this count.
 // begin has no effect after a call of end. Only the first call of each function has an effect. Both are safe for
 // concurrent use.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -48,6 +48,8 @@
 	retriesDesc  = newDesc("glencart_retries_total", "Attempts sent for a request that had one before.")
 	closesDesc   = newDesc("glencart_connections_closed_total",
 		"Connections that the node ended itself, by reason.", "reason")
+	unwrittenDesc = newDesc("glencart_responses_unwritten_total",
+		"Final responses that could not be written to their client, by cause (timeout, closed).", "cause")
 	violationsDesc = newDesc("glencart_invariant_violations_total",
 		"Rules on sending and closing that were about to be broken, or were: a fault of the program.", "rule")
 )
@@ -100,6 +102,8 @@
 	for rule, name := range invariantNames {
 		ch <- counterMetric(violationsDesc, m.guard.violations[rule].Load(), name)
 	}
+	ch <- counterMetric(unwrittenDesc, c.unwrittenTimeout.Load(), "timeout")
+	ch <- counterMetric(unwrittenDesc, c.unwrittenClosed.Load(), "closed")
 	listed := c.listedEndpoints.Load()
 	ch <- counterMetric(upstreamDesc, c.attemptsWritten.Load())
 	ch <- gaugeMetric(pendingDesc, c.pendingRequests.Load())
--- a/internal/node/read_request.go
+++ b/internal/node/read_request.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.startedAt = start
 	parseHints(r, hr)
 	body, err := s.readBody(w, hr, start)
 	if err != nil {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -16,6 +16,7 @@
 	hasRoutingKey bool
 	expectedWork  time.Duration
 	clientRetry   bool      // the client has sent the request before
+	startedAt     time.Time // when the first byte of the request arrived
 	deadline      time.Time // zero until the body of a streamed request has been written completely
 	forwarded     forwardedRequest
 	bodyBytes     int64              // how much of the memory for bodies the body occupies
--- a/internal/node/respond.go
+++ b/internal/node/respond.go
@@ -16,18 +16,28 @@
 
 // rejectWithText sends a line of text as the response to a request that cannot be served, and closes the connection.
 // Unlike http.Error it sets Content-Length, so that the client has the complete response before the rest of its body is
-// read.
-func rejectWithText(w http.ResponseWriter, hr *http.Request, status int, text string) {
+// read. It returns an error if the response could not be written.
+func rejectWithText(w http.ResponseWriter, hr *http.Request, status int, text string) error {
 	closeAfterResponse(w)
+	writeText(w, status, text)
+	err := flushResponse(w)
+	io.CopyN(io.Discard, hr.Body, maxDiscardedBody)
+	return err
+}
+
+// writeText writes a line of text as a complete response.
+func writeText(w http.ResponseWriter, status int, text string) {
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)+1))
 	w.WriteHeader(status)
 	io.WriteString(w, text+"\n")
-	http.NewResponseController(w).Flush()
-	io.CopyN(io.Discard, hr.Body, maxDiscardedBody)
 }
 
+// flushResponse passes everything that has been written of a response to the client's connection. net/http does the
+// same when the handler returns, but drops the error.
+func flushResponse(w http.ResponseWriter) error { return http.NewResponseController(w).Flush() }
+
 // writeHealth answers a health check.
 func writeHealth(w http.ResponseWriter, ok bool) {
 	status, text := http.StatusOK, "ok\n"
@@ -57,7 +67,7 @@
 		}
 		writeFailed(w, status)
 	case responseDuplicate:
-		http.Error(w, "another request with the same X-Trace-Id is in progress", http.StatusConflict)
+		writeText(w, http.StatusConflict, "another request with the same X-Trace-Id is in progress")
 	}
 	return nil
 }
