Count a response's write timeout from the write, not from the request's head

What callers saw: a shift-claim with a body of 1 MB at 72 kB a second was forwarded and run, and its client got no byte of an answer. So did every buffered request whose answer came more than 2.8 s + the longest deadline + 5 s after its head: also one that was rejected, failed, too long or interrupted by a shutdown.

Cause: http.Server.WriteTimeout. net/http sets the write deadline once, at the end of a request's head, so the time that a lawful client takes for its body used it up. Only streamed bodies got a new deadline for their response. The last chunk of a streamed response had what the piece before it and the wait for the backend left.

The two places that set write deadlines themselves no longer do.

--- a/internal/node/client_server.go
+++ b/internal/node/client_server.go
@@ -22,8 +22,6 @@
 	requestReadTimeout = 2800 * time.Millisecond
 	// keepAliveTimeout is how long a connection may be idle between two requests.
 	keepAliveTimeout = 30 * time.Second
-	// responseWriteTimeout is how long a client may take to read its response.
-	responseWriteTimeout = 5 * time.Second
 	// overloadRetryAfter is the Retry-After of a request that is rejected because too many requests are in flight.
 	overloadRetryAfter = 250 * time.Millisecond
 	// inFlightEighths is the share of the client connections, in eighths, that may have a request in flight. The other
@@ -72,13 +70,13 @@
 	return s
 }
 
-// httpServer returns the HTTP server that clients connect to. The caller starts and closes it.
+// httpServer returns the HTTP server that clients connect to. The caller starts and closes it. The server has no
+// timeout for writes, because each write of a clientConn has its own.
 func (s *clientServer) httpServer() *http.Server {
 	return &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       keepAliveTimeout,
-		WriteTimeout:      requestReadTimeout + longestDeadline(s.settings) + responseWriteTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 		ConnState:         s.conns.track,
@@ -236,10 +234,6 @@
 	if s.shutdown.started() || s.handedOver.Load() {
 		closeAfterResponse(w)
 	}
-	bodyOpen := r.forwarded.upload != nil
-	if bodyOpen {
-		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	}
 	// The outcome is recorded before the last byte is written, so that a client which has read the whole response finds
 	// it in the statistics.
 	err := writeResponse(w, response, func() { recorder.finish(response.kind) })
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -75,11 +75,17 @@
 }
 
 // writeSlowly writes a text byte by byte, and waits for the interval after each byte.
-func writeSlowly(w io.Writer, text string, every time.Duration) {
-	for i := range len(text) {
-		if _, err := io.WriteString(w, text[i:i+1]); err != nil {
+func writeSlowly(w io.Writer, text string, every time.Duration) { writeInPieces(w, text, 1, every) }
+
+// writeInPieces writes a text in pieces of at most size bytes, waits for the interval after each piece, and stops if a
+// write fails.
+func writeInPieces(w io.Writer, text string, size int, every time.Duration) {
+	for len(text) > 0 {
+		n := min(size, len(text))
+		if _, err := io.WriteString(w, text[:n]); err != nil {
 			return
 		}
+		text = text[n:]
 		time.Sleep(every)
 	}
 }
--- a/internal/node/request_stream.go
+++ b/internal/node/request_stream.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return false, err
 		}
-		backend.SetWriteDeadline(time.Now().Add(streamStallTimeout))
+		backend.SetWriteDeadline(time.Now().Add(stallTimeout))
 		if _, err := w.Write(piece); err != nil {
 			return true, err
 		}
--- a/internal/node/response_stream.go
+++ b/internal/node/response_stream.go
@@ -36,7 +36,6 @@
 			if passedOn == s.size {
 				onLastByte()
 			}
-			client.SetWriteDeadline(time.Now().Add(streamStallTimeout))
 			if _, err := w.Write(piece); err != nil {
 				return err
 			}
@@ -51,7 +50,7 @@
 		if err != nil {
 			return err
 		}
-		s.backend.SetReadDeadline(time.Now().Add(streamStallTimeout))
+		s.backend.SetReadDeadline(time.Now().Add(stallTimeout))
 		var n int
 		n, err = s.body.Read(buffer[:])
 		piece = buffer[:n]
--- /dev/null
+++ b/internal/node/slow_body_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// slowBodyPiece is sent every slowBodyInterval by a slow client: 72 kB a second. Clients may send 64 kB a second.
+	slowBodyPiece    = 3600
+	slowBodyInterval = 50 * time.Millisecond
+	slowBodySize     = 1_000_000
+)
+
+// respondToRequests has the event loop of a server, which does not run, answer each request until the test ends.
+func respondToRequests(t *testing.T, s *clientServer, respond func(r *request) finalResponse) {
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	go func() {
+		for {
+			select {
+			case message := <-s.loop.messages:
+				if arrived, ok := message.(requestArrived); ok {
+					arrived.request.response <- respond(arrived.request)
+				}
+			case <-ended:
+				return
+			}
+		}
+	}()
+}
+
+// slowOrder returns the head of a request of the class "order" with a body of slowBodySize, and the body as it is sent.
+func slowOrder(chunked bool) (head, body string) {
+	const fields = "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"
+	if !chunked {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", fields, slowBodySize), strings.Repeat("x", slowBodySize)
+	}
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", streamBufferSize, strings.Repeat("x", streamBufferSize))
+	return fields + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat(chunk, 2*slowBodySize/streamBufferSize) + "0\r\n\r\n"
+}
+
+// Guards against review case 2: a request whose body takes longer than a write timeout that is counted from its head
+// runs, and its client gets no byte of an answer. Every final response reaches the client of a slow body.
+func TestResponseFollowsSlowBody(t *testing.T) {
+	shutDownAfter := func(d time.Duration) func(*testing.T, *clientServer) {
+		return func(t *testing.T, s *clientServer) {
+			time.Sleep(d)
+			s.shutdown.start()
+			s.drain(t.Context())
+		}
+	}
+	for name, tc := range map[string]struct {
+		chunked  bool
+		response finalResponse
+		during   func(*testing.T, *clientServer) // runs while the body is sent
+		want     int
+	}{
+		"served":           {response: finalResponse{kind: responseServed, body: []byte("done")}, want: 200},
+		"rejected":         {response: finalResponse{kind: responseRejected}, want: 503},
+		"failed":           {response: finalResponse{kind: responseFailed}, want: 502},
+		"duplicate":        {response: finalResponse{kind: responseDuplicate}, want: 409},
+		"body too long":    {chunked: true, want: 413},
+		"shut down during": {during: shutDownAfter(10 * time.Second), want: 503},
+		"memory is short": {chunked: true, want: 503, during: func(_ *testing.T, s *clientServer) {
+			time.Sleep(10 * time.Second)
+			s.bodyMemory.acquire(s.bodyMemory.available.Load())
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, s := startInMemoryServer(t)
+				respondToRequests(t, s, func(*request) finalResponse { return tc.response })
+				c := l.dial()
+				var running sync.WaitGroup
+				defer running.Wait()
+				defer c.Close()
+				if tc.during != nil {
+					running.Go(func() { tc.during(t, s) })
+				}
+				head, body := slowOrder(tc.chunked)
+				running.Go(func() {
+					io.WriteString(c, head)
+					writeInPieces(c, body, slowBodyPiece, slowBodyInterval)
+				})
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatalf("got error %v, want status %d", err, tc.want)
+				}
+				if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != tc.want {
+					t.Errorf("got status %d, error %v, want a complete response with status %d", resp.StatusCode, err, tc.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/streamed_request.go
+++ b/internal/node/streamed_request.go
@@ -17,7 +17,7 @@
 // precede the end of the body. The deadline of the exchange counts from the last byte of the body.
 func (e *upstreamExchange) streamRequest(ctx context.Context) attemptResult {
 	upload := e.request.upload
-	e.conn.SetWriteDeadline(time.Now().Add(streamStallTimeout))
+	e.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
 	head := e.request.encodeHead(e.conn.Server.Addr, e.request.timeLeft)
 	if _, err := e.conn.Write(head); err != nil {
 		e.discard(ctx, "request not written", err)
