Count a later request's head from its first byte, not from its fourth

What callers saw: on a connection that had carried a request, a client that had sent one to three bytes of its next one when the connection's 30 s of idle time ended was closed in the middle of its head, without an answer. The other way round, a client that stopped after one to three bytes was given up after up to 30 s, though it is owed an error or a close within 3 s.

Evidence: TestLaterHeadCountsFromItsFirstByte on: with one and with three bytes sent 0.5 s before the idle timeout "unexpected EOF" after 1 s, with one byte and no more "unexpected EOF" after 29 s; with four bytes it passes.

Change: before each read of a head that has begun, clientConn sets the read deadline to headTimeout after its first byte, which httpframing's parser knows already.

--- a/internal/httpframing/httpframing.go
+++ b/internal/httpframing/httpframing.go
@@ -48,6 +48,10 @@
 	return &Parser{maxLine: maxLine, head: Head{Start: opened}}
 }
 
+// Started returns when the current head began: at its first byte, or, for the first head, when the connection was
+// opened. It returns the zero time if no byte of a later head has been parsed.
+func (p *Parser) Started() time.Time { return p.head.Start }
+
 // Parse parses the next bytes of the connection. If a head ends within them, Parse returns the head and the number of
 // bytes up to its end. The parser is then ready for the head of the next request, and the caller must not pass it the
 // body. Otherwise Parse returns nil and the number of all bytes.
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -60,6 +60,9 @@
 	} else if c.awaitsDisconnect(len(p)) {
 		return 0, c.readAhead(p)
 	}
+	if c.bodyLeft == 0 && !c.openEnded {
+		c.limitHeadTime()
+	}
 	n, err := c.readBytes(p)
 	if n > 0 && !c.markReceiving() {
 		return 0, c.discardAfterClose(p)
@@ -74,6 +77,15 @@
 	return n, err
 }
 
+// limitHeadTime sets the deadline of a head of which some bytes have been received. net/http counts the time of a later
+// head from its fourth byte only. Until then it would let the first three wait, for as long as the connection may be
+// idle, or close the connection between them, when this time has passed.
+func (c *clientConn) limitHeadTime() {
+	if started := c.parser.Started(); !started.IsZero() {
+		c.Conn.SetReadDeadline(started.Add(headTimeout))
+	}
+}
+
 // readBytes returns buffered bytes if there are any, and otherwise receives from the connection.
 func (c *clientConn) readBytes(p []byte) (int, error) {
 	if len(c.buffered) > 0 {
--- a/internal/node/client_conn_test.go
+++ b/internal/node/client_conn_test.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// fakeConn is a connection that supports only Read.
+// fakeConn is a connection that supports only Read. It ignores read deadlines.
 type fakeConn struct {
 	net.Conn
 	read io.Reader
@@ -153,3 +153,6 @@
 
 // Read reads from c.read.
 func (c fakeConn) Read(p []byte) (int, error) { return c.read.Read(p) }
+
+// SetReadDeadline does nothing.
+func (c fakeConn) SetReadDeadline(time.Time) error { return nil }
--- a/internal/node/conn_tracker_test.go
+++ b/internal/node/conn_tracker_test.go
@@ -109,6 +109,50 @@
 	})
 }
 
+// Guards against a later request whose first bytes count as idle time: its head has headTimeout from its first byte. It
+// is served if its connection would have been idle for too long meanwhile, and gets an error or a close if the rest does
+// not come.
+func TestLaterHeadCountsFromItsFirstByte(t *testing.T) {
+	const text = "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"
+	for name, tc := range map[string]struct {
+		idle   time.Duration // before the first byte of the second request
+		first  int           // bytes
+		rest   string        // sent a second later
+		served bool
+	}{
+		"one byte before the idle timeout":    {keepAliveTimeout - time.Second/2, 1, text[1:], true},
+		"three bytes before the idle timeout": {keepAliveTimeout - time.Second/2, 3, text[3:], true},
+		"four bytes before the idle timeout":  {keepAliveTimeout - time.Second/2, 4, text[4:], true},
+		"one byte and no more":                {time.Second, 1, "", false},
+		"four bytes and no more":              {time.Second, 4, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startInMemoryListener(t).dial()
+				defer c.Close()
+				responses := bufio.NewReader(c)
+				io.WriteString(c, text)
+				if _, err := http.ReadResponse(responses, nil); err != nil {
+					t.Fatal(err)
+				}
+				responses.Discard(responses.Buffered()) // the body of the response
+				time.Sleep(tc.idle)
+				began := time.Now()
+				io.WriteString(c, text[:tc.first])
+				if tc.rest != "" {
+					time.Sleep(time.Second)
+					go io.WriteString(c, tc.rest)
+				}
+				resp, err := http.ReadResponse(responses, nil)
+				took := time.Since(began)
+				if served := err == nil && resp.StatusCode == http.StatusOK; served != tc.served || took > headTimeout {
+					t.Errorf("got response %+v, error %v after %v, want served: %v, within %v", resp, err, took, tc.served, headTimeout)
+				}
+			})
+		})
+	}
+}
+
 // A request that crosses the close of its idle connection is not served, since its client sends it again. A request
 // that has been read is served, and its connection is not closed before that.
 func TestRequestCrossingCloseIsServedOnceOrNotAtAll(t *testing.T) {
