Don't count a client in the middle of a later head as idle when evicting

What callers saw: with many connections open, or while a process hands over, the node evicts the clients for which it has waited longest. A client that was in the middle of its second or a later head counted as waiting since its last response, so after a long rest it was closed before clients that had sent nothing, with half a request read and no answer.

Only connections whose first head is incomplete were ranked by their last byte.

Evidence and change: TestSlowestClientIsEvictedFirst has a further step, which fails on ("the connection without any bytes, beside one with an incomplete later head, is not evicted first"). slowest ranks every connection by clientWait, for first and later heads alike.

Result: the test and TestIdleClientsDoNotLockOutOthers pass. That such a client is evicted when nobody else is left is as before.

--- a/internal/node/conn_tracker.go
+++ b/internal/node/conn_tracker.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// slowHeadFactor is the factor by which the node waits longer for a client that has sent a part of its first head than
-// for a client that has sent nothing, before it evicts the client. Although such a client is slow, it wants a response.
+// slowHeadFactor is the factor by which the node waits longer for a client that has sent a part of a head than for a
+// client that has sent nothing, before it evicts the client. Although such a client is slow, it wants a response.
 const slowHeadFactor = 4
 
 // evictionQuarters is the share of the connection limit, in quarters, above which slow clients are evicted. The last
@@ -128,38 +128,42 @@
 	}
 }
 
-// slowest returns the connection for whose client the node has waited longest; nil if the node waits for no client. For
-// a client that has sent a part of its first head, the wait is divided by slowHeadFactor. The caller holds mu.
+// slowest returns the connection for whose client the node has waited longest; nil if the node waits for no client. The
+// caller holds mu.
 func (t *connTracker) slowest() net.Conn {
 	var slowest net.Conn
 	var longest time.Duration
 	now := time.Now()
-	consider := func(c net.Conn, wait time.Duration) {
-		if slowest == nil || wait > longest {
-			slowest = c
-			longest = wait
-		}
-	}
-	for c, since := range t.idleSince {
-		if !since.IsZero() {
-			consider(c, now.Sub(since))
+	for c, idleSince := range t.idleSince {
+		if idleSince.IsZero() && !t.awaitingHead[c] {
+			continue
 		}
-	}
-	for c := range t.awaitingHead {
 		limited, ok := c.(*limitedConn)
 		if !ok {
 			continue
 		}
-		at, sent := limited.client.lastActivity()
-		wait := now.Sub(at)
-		if sent {
-			wait /= slowHeadFactor
+		if wait := clientWait(limited.client, idleSince, now); slowest == nil || wait > longest {
+			slowest = c
+			longest = wait
 		}
-		consider(c, wait)
 	}
 	return slowest
 }
 
+// clientWait returns how long the node has waited for a client: since its last bytes, or, if it has sent none of its
+// next request, since idleSince (zero: it has sent no request yet). For a client that has sent a part of a head, the
+// wait is divided by slowHeadFactor.
+func clientWait(c *clientConn, idleSince, now time.Time) time.Duration {
+	lastActivity, sent := c.lastActivity()
+	switch {
+	case !idleSince.IsZero() && !lastActivity.After(idleSince):
+		return now.Sub(idleSince)
+	case sent:
+		return now.Sub(lastActivity) / slowHeadFactor
+	}
+	return now.Sub(lastActivity)
+}
+
 // closeIdle closes the connections that have been idle since a response for at least minIdle.
 func (t *connTracker) closeIdle(minIdle time.Duration, reason closeReason) {
 	t.mu.Lock()
--- a/internal/node/conn_tracker_test.go
+++ b/internal/node/conn_tracker_test.go
@@ -51,7 +51,8 @@
 }
 
 // The connection for whose client the node has waited longest is evicted first. The wait for the rest of a head counts
-// as a quarter of its length.
+// as a quarter of its length. Guards against a client in the middle of a later head that counts as idle since its last
+// response, and is evicted before clients that have sent nothing.
 func TestSlowestClientIsEvictedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newClientServer(newEventLoop(nil, nil, newCounters(nil), nopLog()), oneClassSettings(), 64, nopLog())
@@ -83,6 +84,12 @@
 		s.conns.track(idle, http.StateIdle)
 		time.Sleep(2 * time.Second)
 		expect("the idle connection", idle)
+		received(idle)
+		time.Sleep(time.Second)
+		unusedSince := conn()
+		time.Sleep(3 * time.Second)
+		expect("the connection without any bytes, beside one with an incomplete later head,", unusedSince)
+		s.conns.track(unusedSince, http.StateClosed)
 		s.conns.track(idle, http.StateClosed)
 		received(partial)
 		s.conns.track(partial, http.StateActive)
