Give the end of a streamed body its own write timeout at the backend

A streamed chunked body whose last piece the backend takes slowly, and whose end the client sends a moment later, was dropped at its end: the write of the last chunk had what the piece before it and the wait for the client had left of 10 s. Found by looking for related paths, not seen in service.

Change: copyTo and the head of a streamed request write through stallLimitedWriter, as clientConn does, so that each write has stallTimeout from its beginning. copyTo no longer sets a deadline of its own.

Result: TestEndOfStreamedBodyHasItsOwnTimeout fails on ("i/o timeout", the backend gets the piece without its end) and passes now, with the tests of large and streamed bodies.

--- a/internal/node/request_stream.go
+++ b/internal/node/request_stream.go
@@ -6,7 +6,6 @@
 	"net/http/httputil"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"hitchvale/internal/connpool"
 )
@@ -94,9 +93,10 @@
 	buffer := streamBuffers.Get().(*[streamBufferSize]byte)
 	defer streamBuffers.Put(buffer)
 	chunked := s.size < 0
-	var w io.WriteCloser = nopCloser{backend}
+	wire := stallLimitedWriter{backend}
+	var w io.WriteCloser = nopCloser{wire}
 	if chunked {
-		w = httputil.NewChunkedWriter(backend)
+		w = httputil.NewChunkedWriter(wire)
 	}
 	for {
 		piece, err := s.next(buffer[:])
@@ -106,7 +106,6 @@
 		if err != nil {
 			return false, err
 		}
-		backend.SetWriteDeadline(time.Now().Add(stallTimeout))
 		if _, err := w.Write(piece); err != nil {
 			return true, err
 		}
@@ -115,7 +114,7 @@
 		return false, nil
 	}
 	w.Close()
-	_, err = io.WriteString(backend, "\r\n")
+	_, err = io.WriteString(wire, "\r\n")
 	return true, err
 }
 
--- a/internal/node/slow_body_test.go
+++ b/internal/node/slow_body_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httputil"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"hitchvale/internal/connpool"
 )
 
 const (
@@ -101,3 +105,33 @@
 		})
 	}
 }
+
+// Guards against a streamed body that is dropped at its last byte: the end of a chunked body has its own time at the
+// backend, and not what the piece before it and the wait for the client have left.
+func TestEndOfStreamedBodyHasItsOwnTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node, backend := net.Pipe()
+		defer backend.Close()
+		defer node.Close()
+		stream := &requestStream{
+			source:     waitingReader(maxBodyStall - 100*time.Millisecond),
+			size:       -1,
+			buffered:   make([]byte, streamBufferSize),
+			onComplete: func() {},
+		}
+		received := make(chan string, 1)
+		go func() {
+			time.Sleep(stallTimeout - time.Second) // the backend is slow to take the first piece
+			body, _ := io.ReadAll(backend)
+			received <- string(body)
+		}()
+		if _, err := stream.copyTo(&connpool.Conn{Conn: node}); err != nil {
+			t.Errorf("got error %v, want none", err)
+		}
+		node.Close()
+		body, err := io.ReadAll(httputil.NewChunkedReader(strings.NewReader(<-received)))
+		if err != nil || len(body) != streamBufferSize {
+			t.Errorf("the backend got %d bytes, error %v, want a complete body of %d bytes", len(body), err, streamBufferSize)
+		}
+	})
+}
--- a/internal/node/streamed_request.go
+++ b/internal/node/streamed_request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"hitchvale/balance"
 )
@@ -17,9 +16,8 @@
 // precede the end of the body. The deadline of the exchange counts from the last byte of the body.
 func (e *upstreamExchange) streamRequest(ctx context.Context) attemptResult {
 	upload := e.request.upload
-	e.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
 	head := e.request.encodeHead(e.conn.Server.Addr, e.request.timeLeft)
-	if _, err := e.conn.Write(head); err != nil {
+	if _, err := (stallLimitedWriter{e.conn}).Write(head); err != nil {
 		e.discard(ctx, "request not written", err)
 		return attemptResult{status: balance.StatusNotDelivered, notReplayable: upload.anyForwarded()}
 	}
