Lab: clients that send a long body slowly, in a test and in the soak

Change: [load] takes slow_bodies, a share of the requests whose client sends a body of 64 to 768 kB at 64 kB a second, the slowest rate that a node has to serve; half of them are chunked. The client's time counts from the last byte.

--- a/internal/lab/delayed_requests.go
+++ b/internal/lab/delayed_requests.go
@@ -17,6 +17,7 @@
 	initialNone     initialPart = "connected" // nothing: the client only connects
 	initialHalfHead initialPart = "head"      // half of the head
 	initialHalfBody initialPart = "body"      // the head and half of the body; without a body, the head less its last byte
+	initialSlowBody initialPart = "slow"      // all but the last byte, at slowBodyRate; the body is long
 )
 
 const (
@@ -47,6 +48,9 @@
 	case x < load.DelayedRequestShare+load.SplitRequestShare:
 		delay.initial = initialHalfBody
 		longest = maxBodyDelay
+	case x < load.DelayedRequestShare+load.SplitRequestShare+load.SlowBodyShare:
+		delay.initial = initialSlowBody
+		return delay
 	default:
 		return delay
 	}
@@ -63,6 +67,8 @@
 		at = headLength / 2
 	case initialHalfBody:
 		at = min(headLength+(len(text)-headLength)/2, len(text)-1) // without a body, the end of the head is missing
+	case initialSlowBody:
+		at = len(text) - 1
 	}
 	return text[:at], text[at:]
 }
@@ -78,8 +84,12 @@
 	if err == nil {
 		var begin string
 		begin, conn.unsentRemainder = delay.split(request.textWithTimeout(timeout))
-		if begin != "" {
-			io.WriteString(conn, begin) // an error shows up again when the remainder is written
+		switch { // an error shows up again when the remainder is written
+		case delay.initial == initialSlowBody:
+			conn.SetWriteDeadline(time.Now().Add(slowBodyTimeout))
+			writeSlowly(ctx, conn, begin)
+		case begin != "":
+			io.WriteString(conn, begin)
 		}
 	}
 	select {
--- a/internal/lab/driver.go
+++ b/internal/lab/driver.go
@@ -88,9 +88,12 @@
 // as soon as its client connects, after a delay, or not at all because a stalled client takes its place.
 func (driver *Driver) drawSender(rng *rand.Rand, i, node int, request *clientRequest) func(context.Context) {
 	var delay requestDelay
-	if driver.Load.DelayedRequestShare+driver.Load.SplitRequestShare > 0 {
+	if driver.Load.DelayedRequestShare+driver.Load.SplitRequestShare+driver.Load.SlowBodyShare > 0 {
 		delay = driver.Load.drawRequestDelay(rng)
 	}
+	if delay.initial == initialSlowBody {
+		request.body = drawSlowBody(rng)
+	}
 	switch {
 	case driver.Load.StalledClients && i%stalledClientInterval == stalledClientInterval/2:
 		return func(context.Context) { driver.runStalledClient(node) }
--- a/internal/lab/exchange.go
+++ b/internal/lab/exchange.go
@@ -19,6 +19,7 @@
 	trace        string
 	class        string
 	key          string    // idempotency key; "": none
+	body         longBody  // the length and form of the body of a POST
 	deadline     time.Time // when its client stops waiting
 	disconnectAt time.Time // when its client disconnects; zero: the client does not disconnect
 }
@@ -43,8 +44,7 @@
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", r.key)
 	}
 	if r.method() == http.MethodPost {
-		body := `{"claim":"` + r.trace + `"}`
-		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		r.body.write(&b, `{"claim":"`+r.trace+`"}`)
 	} else {
 		b.WriteString("\r\n")
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -54,6 +54,8 @@
 	// SplitRequestShare is the share whose client sends the beginning of the request long before the remainder. A new
 	// process of a node is not ready while the old process has such a request.
 	SplitRequestShare float64 `toml:"begun"`
+	// SlowBodyShare is the share whose client sends a long body slowly, if the request is a POST.
+	SlowBodyShare float64 `toml:"slow_bodies"`
 	// StalledClients replaces some requests by clients that send the beginning of a request and then stay connected.
 	StalledClients bool `toml:"improper"`
 }
--- a/internal/lab/scenario_check.go
+++ b/internal/lab/scenario_check.go
@@ -71,6 +71,9 @@
 		return tomlfile.KeyErrorf("load.late", "%g is outside 0 to 1", load.DelayedRequestShare)
 	case load.SplitRequestShare < 0 || load.DelayedRequestShare+load.SplitRequestShare > 1:
 		return tomlfile.KeyErrorf("load.begun", "%g is below 0, or above 1 together with load.late", load.SplitRequestShare)
+	case load.SlowBodyShare < 0 || load.DelayedRequestShare+load.SplitRequestShare+load.SlowBodyShare > 1:
+		return tomlfile.KeyErrorf("load.slow_bodies", "%g is below 0, or above 1 together with load.late and load.begun",
+			load.SlowBodyShare)
 	}
 	return nil
 }
--- a/internal/lab/soak_scenario.go
+++ b/internal/lab/soak_scenario.go
@@ -44,6 +44,7 @@
 	if scenario.Seed%2 == 1 {
 		// Slow requests delay the end of a replaced process. Odd seeds have none, so that the process ends immediately.
 		scenario.Load.SplitRequestShare = 0
+		scenario.Load.SlowBodyShare = 0
 		scenario.Load.StalledClients = false
 	}
 	scenario.Faults = drawSoak(scenario)
