Lab: run no broken body, read early responses, and set the nodes' memory

Cause, both in the lab's stand-ins: - the backend ignored the error of a body that broke off, and executed the request. PROTOCOL: a backend starts a request once its last byte has arrived; - the client never read the response that a node gives at the end of its shutdown, before it has the complete body, if its write failed afterwards.

Change: the backend aborts such a request; the client reads a response after a failed write too. The key memory_mb sets the nodes' memory limit, so that scenarios can choose between buffered and streamed bodies.

--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -76,7 +76,9 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
-	io.Copy(io.Discard, r.Body) // the execution starts when the last byte has arrived
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler) // the execution starts only when the last byte has arrived
+	}
 	trace := r.Header.Get("X-Trace-Id")
 	if trace == "" {
 		http.Error(w, "no trace id", http.StatusNotFound)
--- a/internal/lab/exchange.go
+++ b/internal/lab/exchange.go
@@ -106,7 +106,7 @@
 }
 
 // exchange sends a request on a connection, reads its response and sets the outcome's kind. The error says why there is
-// no complete response. silent says that no byte of a response came.
+// no complete response. silent says that no byte of a response came, or that only a part of the request was written.
 func (c *client) exchange(conn *clientConn, request *clientRequest, outcome *Outcome) (silent bool, err error) {
 	until := request.deadline.Add(responseGrace)
 	disconnects := !request.disconnectAt.IsZero() && request.disconnectAt.Before(until)
@@ -119,11 +119,13 @@
 	if text == "" {
 		text = request.text()
 	}
-	if _, err := io.WriteString(conn, text); err != nil {
+	_, writeErr := io.WriteString(conn, text)
+	// After a failed write too, since the node may have responded before it had the complete request.
+	response, silent, err := readResponse(conn, request)
+	if writeErr != nil && err != nil {
 		outcome.Kind = kindIncomplete
-		return true, err
+		return true, writeErr
 	}
-	response, silent, err := readResponse(conn, request)
 	outcome.DoneAt = time.Now().UnixNano()
 	if err != nil {
 		outcome.Kind = errorKind(err, silent, disconnects)
@@ -134,7 +136,7 @@
 	}
 	outcome.Status = response.StatusCode
 	outcome.Kind = statusKind(response.StatusCode)
-	if response.Close {
+	if response.Close || writeErr != nil {
 		conn.Close()
 	} else {
 		c.putIdle(conn)
--- a/internal/lab/node_config.go
+++ b/internal/lab/node_config.go
@@ -10,7 +10,7 @@
 // connections use them up.
 const (
 	nodeCores       = 1
-	nodeMemoryMB    = 256
+	defaultMemoryMB = 256
 	fewDescriptors  = 256
 	manyDescriptors = 1024
 )
@@ -99,7 +99,7 @@
 		Discovery: addresses.discovery,
 		Admin:     addresses.admin,
 		Seed:      fmt.Sprintf("%016x", run.scenario.Seed*nodeSeedFactor+uint64(i)),
-		Limits:    nodeLimits{Cores: nodeCores, MemoryMB: nodeMemoryMB, Sockets: run.scenario.descriptorLimit()},
+		Limits:    nodeLimits{Cores: nodeCores, MemoryMB: run.scenario.MemoryMB, Sockets: run.scenario.descriptorLimit()},
 		Settings:  run.scenario.nodeSettings(i),
 		Registry:  addresses.replicas,
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -15,6 +15,8 @@
 	Duration Duration `toml:"duration"` // how long requests are sent; afterwards the lab waits for their responses
 	Nodes    int      `toml:"nodes"`
 	Backends int      `toml:"backends"`
+	// MemoryMB is the memory limit in a node's configuration, in MiB. Nodes buffer less of long bodies with less memory.
+	MemoryMB int `toml:"memory_mb"`
 	// Registries is the number of registry replicas (hitchvale registry serve) that serve discovery. With 0 the lab serves
 	// a stand-in discovery, with a proxy for each pair of a node and a backend.
 	Registries int `toml:"registries"`
@@ -93,6 +95,7 @@
 	scenario := Scenario{
 		Duration:   Duration{Duration: 10 * time.Second},
 		DrainGrace: Duration{Duration: time.Second},
+		MemoryMB:   defaultMemoryMB,
 		Load:       Load{Rate: 100, Count: 100000, Deadline: Duration{Duration: time.Second}},
 	}
 	if err := tomlfile.Decode(text, &scenario); err != nil {
--- a/internal/lab/scenario_check.go
+++ b/internal/lab/scenario_check.go
@@ -44,6 +44,8 @@
 		return tomlfile.KeyErrorf("nodes", "%d is outside 1 to 64", scenario.Nodes)
 	case scenario.Backends < 1 || scenario.Backends > 256:
 		return tomlfile.KeyErrorf("backends", "%d is outside 1 to 256", scenario.Backends)
+	case scenario.MemoryMB < 1 || scenario.MemoryMB > 1<<20:
+		return tomlfile.KeyErrorf("memory_mb", "%d is outside 1 to 1048576", scenario.MemoryMB)
 	case scenario.Registries < 0 || scenario.Registries > 7:
 		return tomlfile.KeyErrorf("registries", "%d is outside 0 to 7", scenario.Registries)
 	case scenario.Duration.Duration <= 0 || scenario.Duration.Duration > time.Hour:
