Read a rejected slow body to its end, at the rate of a slow client

What callers saw: a request that the node rejects at its head (overload, no memory for the body, an unknown class, malformed framing) gets its response at once. If its client was still sending after 2.8 s from the first byte of the head, the node closed the connection over its unread bytes, which resets it: a client that sends its whole body before it reads loses the 503, and can't tell whether its request ran.

The time for the rest of the body counted from the request's head, though a lawful client may take 2 s for the head and needs 1.75 s for 112 KiB.

Change: discardBody reads what is left of the body, up to 256 KiB as before, with the minimum rate and the longest pause that apply to any body, counted from the rejection. It replaces the copy in rejectWithText, and applies to rejections for overload too. A shutdown interrupts it like the reading into memory. A client that has stopped sending (408) is not waited for again.

Result: the test passes; TestShutdownEndsTheReadOfARejectedBody holds that a drain ends before the earliest kill.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -178,10 +178,10 @@
 	return true
 }
 
-// interruptBody interrupts the reading of a body into memory. It has to be called repeatedly, because the body's reader
+// interruptBody interrupts the reading of a body into memory, or of one that is dropped. It has to be called repeatedly, because the body's reader
 // sets read deadlines as well.
 func (c *clientConn) interruptBody() {
-	c.ifBuffering(func() { c.Conn.SetReadDeadline(time.Now()) })
+	c.ifReadingBody(func() { c.Conn.SetReadDeadline(time.Now()) })
 }
 
 // closeIfWaiting marks the connection as closed if the node waits for a request on it: no request is complete and,
--- a/internal/node/client_server.go
+++ b/internal/node/client_server.go
@@ -118,7 +118,8 @@
 	if head.Err != nil {
 		s.warnings.Warn("request with malformed framing rejected", "fault", head.Err, "from", hr.RemoteAddr)
 		// This closes the connection, since the start of the next request is unknown.
-		s.reportUnwritten(hr, head.Start, rejectWithText(w, hr, http.StatusBadRequest, head.Err.Error()))
+		s.reportUnwritten(hr, head.Start, rejectWithText(w, http.StatusBadRequest, head.Err.Error()))
+		discardBody(w, hr)
 		return
 	}
 	if head.LastOnConnection {
@@ -136,6 +137,7 @@
 		s.inFlight.Add(-1)
 		s.rejectOverload(w, hr)
 		s.reportUnwritten(hr, head.Start, flushResponse(w))
+		discardBody(w, hr)
 		return
 	}
 	defer s.inFlight.Add(-1)
@@ -151,7 +153,7 @@
 	return httpframing.Head{Start: received}, true
 }
 
-// rejectOverload rejects a request without reading it, because too many requests are in flight.
+// rejectOverload rejects a request without reading its body, because too many requests are in flight.
 func (s *clientServer) rejectOverload(w http.ResponseWriter, hr *http.Request) {
 	closeAfterResponse(w)
 	writeRejected(w, overloadRetryAfter)
@@ -166,10 +168,14 @@
 	notAdmitted := !s.shutdown.admits()
 	if err != nil {
 		status := statusOf(err)
-		if notAdmitted && status == http.StatusRequestTimeout {
+		timedOut := status == http.StatusRequestTimeout
+		if notAdmitted && timedOut {
 			status = http.StatusServiceUnavailable // the shutdown interrupted the read, and nothing was forwarded
 		}
-		s.reportUnwritten(hr, start, rejectWithText(w, hr, status, err.Error()))
+		s.reportUnwritten(hr, start, rejectWithText(w, status, err.Error()))
+		if !timedOut {
+			discardBody(w, hr)
+		}
 		return
 	}
 	defer s.bodyMemory.release(r.bodyBytes)
@@ -185,7 +191,8 @@
 		s.warnings.Warn("request rejected during shutdown", "request", r.id, "class", r.class)
 		s.counters.recordOutcome(r.class, responseRejected)
 		const reason = "this process is shutting down and rejects new requests"
-		s.reportUnwritten(hr, start, rejectWithText(w, hr, http.StatusServiceUnavailable, reason))
+		s.reportUnwritten(hr, start, rejectWithText(w, http.StatusServiceUnavailable, reason))
+		discardBody(w, hr)
 		return
 	}
 	if r.forwarded.upload != nil {
--- a/internal/node/conn_state.go
+++ b/internal/node/conn_state.go
@@ -36,10 +36,11 @@
 // The phase of the connection changes at most once, by reject, closeIf or markClosed. The phase of the current request
 // goes through the same sequence for each request: markReceiving or readUnlessClosed, addHead, takeHead, finishMessage.
 type connState struct {
-	mu        sync.Mutex
-	phase     connPhase
-	message   messagePhase
-	buffering bool // the handler is reading a body into memory
+	mu      sync.Mutex
+	phase   connPhase
+	message messagePhase
+	// readingBody is set while the handler reads a body that it does not forward meanwhile: into memory, or to drop it.
+	readingBody bool
 	// heads are the complete heads that the handler has not taken yet. Only a client that pipelines has more than one.
 	heads []httpframing.Head
 }
@@ -185,18 +186,18 @@
 	return s.phase != connOpen
 }
 
-// setBuffering records whether the handler is reading a body into memory.
-func (s *connState) setBuffering(buffering bool) {
+// setReadingBody records whether the handler reads a body that it does not forward meanwhile.
+func (s *connState) setReadingBody(reading bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.buffering = buffering
+	s.readingBody = reading
 }
 
-// ifBuffering calls a function, under the lock, if the handler is reading a body into memory.
-func (s *connState) ifBuffering(call func()) {
+// ifReadingBody calls a function, under the lock, if the handler reads a body that it does not forward meanwhile.
+func (s *connState) ifReadingBody(call func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.buffering {
+	if s.readingBody {
 		call()
 	}
 }
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -77,17 +77,18 @@
 // writeSlowly writes a text byte by byte, and waits for the interval after each byte.
 func writeSlowly(w io.Writer, text string, every time.Duration) { writeInPieces(w, text, 1, every) }
 
-// writeInPieces writes a text in pieces of at most size bytes, waits for the interval after each piece, and stops if a
-// write fails.
-func writeInPieces(w io.Writer, text string, size int, every time.Duration) {
-	for len(text) > 0 {
-		n := min(size, len(text))
-		if _, err := io.WriteString(w, text[:n]); err != nil {
-			return
+// writeInPieces writes a text in pieces of at most size bytes, and waits for the interval after each piece. It stops if a
+// write fails, and returns how many bytes it has written.
+func writeInPieces(w io.Writer, text string, size int, every time.Duration) (written int) {
+	for written < len(text) {
+		n, err := io.WriteString(w, text[written:min(written+size, len(text))])
+		written += n
+		if err != nil {
+			return written
 		}
-		text = text[n:]
 		time.Sleep(every)
 	}
+	return written
 }
 
 // A client that sends a malformed or incomplete request, or no bytes at all, gets an error or a close within 3 s of
--- a/internal/node/request_body.go
+++ b/internal/node/request_body.go
@@ -14,6 +14,8 @@
 	// minBodyRate is the rate, in bytes per second, that a client has to reach while the node waits for its body. It is
 	// half the rate of the slowest client that has to be served.
 	minBodyRate = 32 << 10
+	// maxDiscardedBody bounds how many bytes of a rejected request's body are read and dropped.
+	maxDiscardedBody = 4 * maxBodyBytes
 	// maxBodyStall is the longest pause that a client may make while it sends a body.
 	maxBodyStall = 2 * time.Second
 )
@@ -42,7 +44,7 @@
 	limit           int64         // bytes
 }
 
-// newMinRateBody returns the reader of a request's body. start is when the first byte of the request arrived.
+// newMinRateBody returns the reader of a request's body. start is when the client's time began.
 func newMinRateBody(w http.ResponseWriter, hr *http.Request, start time.Time, limit int64) *minRateBody {
 	return &minRateBody{
 		source:          hr.Body,
@@ -83,10 +85,7 @@
 		return requestBody{}, errBodyTooLong
 	}
 	source := newMinRateBody(w, hr, start, limit)
-	if c, ok := clientConnOf(hr.Context()); ok {
-		c.setBuffering(true)
-		defer c.setBuffering(false)
-	}
+	defer readInterruptibly(hr)()
 	var body requestBody
 	var complete bool
 	var err error
@@ -113,6 +112,25 @@
 	return body, nil
 }
 
+// readInterruptibly lets a shutdown interrupt the reading of a request's body, until the returned function is called.
+func readInterruptibly(hr *http.Request) (end func()) {
+	c, ok := clientConnOf(hr.Context())
+	if !ok {
+		return func() {}
+	}
+	c.setReadingBody(true)
+	return func() { c.setReadingBody(false) }
+}
+
+// discardBody reads and drops the rest of a rejected request's body, up to maxDiscardedBody. There are two reasons:
+// closing the connection while bytes are unread would reset it, and the reset may overtake the response; and a client
+// may read the response only after it has sent the entire body. The client's time counts from the rejection, since it
+// may have taken all of requestReadTimeout for the request's head.
+func discardBody(w http.ResponseWriter, hr *http.Request) {
+	defer readInterruptibly(hr)()
+	io.Copy(io.Discard, newMinRateBody(w, hr, time.Now(), maxDiscardedBody))
+}
+
 // bufferChunked buffers a body of unknown length as far as the memory budget allows, and reports whether the body is
 // complete.
 func (s *clientServer) bufferChunked(source io.Reader) (body requestBody, complete bool, err error) {
--- a/internal/node/respond.go
+++ b/internal/node/respond.go
@@ -7,22 +7,16 @@
 	"time"
 )
 
-// maxDiscardedBody bounds how many bytes of a rejected request's body are read and dropped. They are read because
-// closing the connection while bytes are unread would reset it, and the reset may overtake the response.
-const maxDiscardedBody = 4 * maxBodyBytes
-
 // closeAfterResponse has the HTTP server close the connection after the current response.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-// rejectWithText sends a line of text as the response to a request that cannot be served, and closes the connection.
-// Unlike http.Error it sets Content-Length, so that the client has the complete response before the rest of its body is
-// read. It returns an error if the response could not be written.
-func rejectWithText(w http.ResponseWriter, hr *http.Request, status int, text string) error {
+// rejectWithText sends a line of text as the response to a request that cannot be served, and has the HTTP server close
+// the connection. Unlike http.Error it sets Content-Length, so that the client has the complete response before the rest
+// of its body is read. It returns an error if the response could not be written.
+func rejectWithText(w http.ResponseWriter, status int, text string) error {
 	closeAfterResponse(w)
 	writeText(w, status, text)
-	err := flushResponse(w)
-	io.CopyN(io.Discard, hr.Body, maxDiscardedBody)
-	return err
+	return flushResponse(w)
 }
 
 // writeText writes a line of text as a complete response.
--- a/internal/node/slow_body_test.go
+++ b/internal/node/slow_body_test.go
@@ -106,6 +106,82 @@
 	}
 }
 
+// rejectedBodySize is the size of the bodies of rejected requests. A slow client takes 2.8 s for it.
+const rejectedBodySize = 200_000
+
+// sendRejected sends a request to a server: its head within 2 s, and a slow body. It returns the status of the response
+// and how many bytes of the body were sent before the connection ended.
+func sendRejected(t *testing.T, l *pipeListener, head, body string) (status, sent int) {
+	t.Helper()
+	c := l.dial()
+	defer c.Close()
+	written := make(chan int)
+	go func() {
+		writeInPieces(c, head, len(head)/2+1, time.Second)
+		written <- writeInPieces(c, body, slowBodyPiece, slowBodyInterval)
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Errorf("got error %v, want a response", err)
+		return 0, <-written
+	}
+	return resp.StatusCode, <-written
+}
+
+// Guards against a rejection that counts the time for the rest of the body from the request's head. A connection that is
+// closed while its client still sends is reset, and the client may lose the response.
+func TestRejectedSlowBodyIsReadToItsEnd(t *testing.T) {
+	fields := "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", rejectedBodySize)
+	body := strings.Repeat("x", rejectedBodySize)
+	for name, tc := range map[string]struct {
+		head   string
+		body   string
+		reject func(*clientServer) // makes the server reject the request
+		want   int
+	}{
+		"overload": {fields + length, body, func(s *clientServer) { s.inFlight.Add(s.maxInFlight) }, 503},
+		"no memory": {fields + length, body, func(s *clientServer) {
+			s.bodyMemory.acquire(s.bodyMemory.available.Load())
+		}, 503},
+		"unknown class": {strings.Replace(fields, "order", "gold", 1) + length, body, func(*clientServer) {}, 400},
+		"two lengths": {fields + length + "Transfer-Encoding: chunked\r\n",
+			fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body), func(*clientServer) {}, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, s := startInMemoryServer(t)
+				tc.reject(s)
+				status, sent := sendRejected(t, l, tc.head+"\r\n", tc.body)
+				if status != tc.want || sent != len(tc.body) {
+					t.Errorf("got status %d after %d bytes, want %d and all %d bytes read", status, sent, tc.want, len(tc.body))
+				}
+			})
+		})
+	}
+}
+
+// A shutdown does not wait for the rest of a rejected request's body.
+func TestShutdownEndsTheReadOfARejectedBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, s := startInMemoryServer(t)
+		drained := make(chan time.Time, 1)
+		go func() {
+			time.Sleep(2500 * time.Millisecond)
+			s.shutdown.start()
+			s.drain(t.Context())
+			drained <- time.Now()
+		}()
+		head := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", rejectedBodySize)
+		status, sent := sendRejected(t, l, head, strings.Repeat("x", rejectedBodySize))
+		end := <-drained
+		if status != http.StatusBadRequest || sent == rejectedBodySize || end.After(s.shutdown.earliestKill().Time()) {
+			t.Errorf("got status %d after %d bytes, drained %v before the kill; want 400, a part of the body, and a drain in time",
+				status, sent, s.shutdown.earliestKill().Time().Sub(end))
+		}
+	})
+}
+
 // Guards against a streamed body that is dropped at its last byte: the end of a chunked body has its own time at the
 // backend, and not what the piece before it and the wait for the client have left.
 func TestEndOfStreamedBodyHasItsOwnTimeout(t *testing.T) {
