Don't let a held-up upload set the deadline of a response under way

Need: found by looking for related paths, not seen in service. When the last byte of a streamed body has been written to the backend, the upload's goroutine sets the read deadline for the response, counted from that byte.

Change: setResponseDeadline has no effect once readResponse has returned; from then on the reader of the streamed response sets its read deadlines.

Result: TestHeldUpUploadDoesNotEndItsResponse holds the upload up at that point by construction.

--- a/internal/node/streamed_request.go
+++ b/internal/node/streamed_request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hitchvale/balance"
 )
@@ -24,6 +25,7 @@
 	uploaded := make(chan uploadResult, 1)
 	go e.copyUpload(uploaded)
 	result, err := e.readResponse()
+	e.endResponseDeadline()
 	if err != nil {
 		upload.abandon()
 		e.transport.pool.Discard(e.conn) // from here on nothing more is written
@@ -47,12 +49,29 @@
 	switch {
 	case err == nil:
 		e.transport.writtenRequests.Add(1)
-		e.conn.SetReadDeadline(e.request.onWritten())
+		e.setResponseDeadline(e.request.onWritten())
 	case !writeFailed || timedOut(err):
 		e.conn.Close()
 	}
 }
 
+// setResponseDeadline sets the deadline for the response, unless readResponse has returned. The upload may be held up
+// after its last byte, and the read deadlines of a streamed response are set by its reader.
+func (e *upstreamExchange) setResponseDeadline(deadline time.Time) {
+	e.responseMu.Lock()
+	defer e.responseMu.Unlock()
+	if !e.responseRead {
+		e.conn.SetReadDeadline(deadline)
+	}
+}
+
+// endResponseDeadline records that readResponse has returned.
+func (e *upstreamExchange) endResponseDeadline() {
+	e.responseMu.Lock()
+	defer e.responseMu.Unlock()
+	e.responseRead = true
+}
+
 // brokenUploadStatus returns the status of a streamed request without a complete response. The backend may have run the
 // request only if the client has sent the last byte and this byte was written to the backend.
 func (e *upstreamExchange) brokenUploadStatus(
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -180,6 +181,9 @@
 	conn      *connpool.Conn
 	request   *forwardedRequest
 	detach    func() bool // stops the context from closing the connection; returns false if the context has ended
+
+	responseMu   sync.Mutex
+	responseRead bool // of a streamed request: readResponse has returned
 }
 
 // sendRequest writes a request whose body is complete, and reads the response.
--- a/internal/node/upstream_response_test.go
+++ b/internal/node/upstream_response_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -156,3 +158,41 @@
 		return ended
 	})
 }
+
+// Guards against a streamed response that is cut off because the upload of its request was held up after the last byte,
+// and only then set the deadline for a response that was being passed on already.
+func TestHeldUpUploadDoesNotEndItsResponse(t *testing.T) {
+	const size = 2 * maxBodyBytes
+	heldUp := make(chan struct{})
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n")
+		c.Write(make([]byte, size/2))
+		<-heldUp
+		time.Sleep(200 * time.Millisecond) // longer than the request's deadline
+		c.Write(make([]byte, size/2))
+	})
+	request := newForwardedRequest("id")
+	request.method = http.MethodPost
+	request.upload = &requestStream{source: strings.NewReader("body"), size: 4, onComplete: func() {}}
+	responding := make(chan struct{})
+	request.onWritten = func() time.Time {
+		<-responding
+		time.Sleep(50 * time.Millisecond) // so that the reader of the response waits for the backend
+		defer close(heldUp)
+		return time.Now().Add(100 * time.Millisecond)
+	}
+	result := attemptOnce(t, newTestTransport(t), connpool.Server{Addr: b.Addr().String()}, request)
+	if result.stream == nil {
+		t.Fatalf("got result %+v, want a streamed response", result)
+	}
+	close(responding)
+	w := httptest.NewRecorder()
+	if err := result.stream.copyTo(w, func() {}); err != nil || w.Body.Len() != size {
+		t.Errorf("got %d bytes, error %v, want all %d bytes", w.Body.Len(), err, size)
+	}
+}
