--- a/internal/node/request_stream.go
+++ b/internal/node/request_stream.go
@@ -19,7 +19,8 @@
 	size       int64  // in bytes; -1 if unknown
 	onComplete func() // called once the last byte of the body has been read; set before the first read
 
-	complete atomic.Bool // the last byte of the body has been read
+	complete   atomic.Bool  // the last byte of the body has been read
+	readLength atomic.Int64 // bytes of the body that have been read to be forwarded
 
 	mu        sync.Mutex // guards the fields below; held while source is read
 	source    io.Reader
@@ -42,10 +43,12 @@
 	s.forwarded = true
 	if buffered := s.buffered; len(buffered) > 0 {
 		s.buffered = nil
+		s.readLength.Add(int64(len(buffered)))
 		return buffered, nil
 	}
 	n, err := s.source.Read(b)
 	s.err = err
+	s.readLength.Add(int64(n))
 	if err == io.EOF {
 		s.complete.Store(true)
 		s.onComplete()
--- a/internal/node/streamed_request.go
+++ b/internal/node/streamed_request.go
@@ -11,6 +11,7 @@
 type uploadResult struct {
 	writeFailed bool // whether an error came from writing to the backend, and not from reading the client's body
 	complete    bool // the last byte was written without an error
+	err         error
 }
 
 // streamRequest writes a request while its body is still arriving from the client, and reads the response, which may
@@ -29,9 +30,8 @@
 	if err != nil {
 		upload.abandon()
 		e.transport.pool.Discard(e.conn) // from here on nothing more is written
-		status := e.brokenUploadStatus(ctx, uploaded, err)
-		e.transport.logFailure(ctx, e.request, e.conn.Server, "no complete response to a streamed request", err)
-		return attemptResult{status: status, notReplayable: true}
+		e.logBrokenUpload(ctx, uploaded, err)
+		return attemptResult{status: e.brokenUploadStatus(ctx, uploaded, err), notReplayable: true}
 	}
 	result.notReplayable = true
 	if result.status != balance.StatusSucceeded {
@@ -45,7 +45,7 @@
 // response that the backend sent before the error can still be read.
 func (e *upstreamExchange) copyUpload(uploaded chan<- uploadResult) {
 	writeFailed, err := e.request.upload.copyTo(e.conn)
-	uploaded <- uploadResult{writeFailed: writeFailed, complete: err == nil}
+	uploaded <- uploadResult{writeFailed: writeFailed, complete: err == nil, err: err}
 	switch {
 	case err == nil:
 		e.transport.writtenRequests.Add(1)
@@ -72,6 +72,23 @@
 	e.responseRead = true
 }
 
+// logBrokenUpload logs why a streamed request has no complete response, and how far its body got. An upload that fails
+// closes the connection, so that the error of the response says nothing about the cause.
+func (e *upstreamExchange) logBrokenUpload(ctx context.Context, uploaded chan uploadResult, err error) {
+	reason := "no complete response to a streamed request"
+	select {
+	case result := <-uploaded:
+		uploaded <- result
+		if result.writeFailed {
+			reason, err = "the backend has not taken the complete body of a streamed request", result.err
+		}
+	default:
+	}
+	upload := e.request.upload
+	e.transport.logFailure(ctx, e.request, e.conn.Server, reason, err,
+		"body_bytes_read", upload.readLength.Load(), "body_read_completely", upload.complete.Load())
+}
+
 // brokenUploadStatus returns the status of a streamed request without a complete response. The backend may have run the
 // request only if the client has sent the last byte and this byte was written to the backend.
 func (e *upstreamExchange) brokenUploadStatus(
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -164,15 +164,16 @@
 	return balance.StatusConnectionLost
 }
 
-// logFailure logs, at a bounded rate, why an exchange got no complete response. Cancelled exchanges are not logged.
+// logFailure logs, at a bounded rate, why an exchange got no complete response. Cancelled exchanges are not logged. args
+// are further attributes for the log.
 func (t *upstreamTransport) logFailure(
-	ctx context.Context, request *forwardedRequest, to connpool.Server, reason string, err error,
+	ctx context.Context, request *forwardedRequest, to connpool.Server, reason string, err error, args ...any,
 ) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	t.exchangeFailureLog.Warn("attempt failed, reporting its status to the balancer",
-		"reason", reason, "request", request.header.Get("X-Trace-Id"), "backend", to.Addr, "error", err)
+	t.exchangeFailureLog.Warn("attempt failed, reporting its status to the balancer", append([]any{
+		"reason", reason, "request", request.header.Get("X-Trace-Id"), "backend", to.Addr, "error", err}, args...)...)
 }
 
 // upstreamExchange is an exchange that has a connection.
