Start a streamed request's time when its last byte reaches the node's machine

Cause: the deadline of a streamed request began when its last byte had been written to the backend. A backend that takes no more bytes stops the writing, and with it the node's reading of bytes that are already in its socket, so that this moment never came and only the stall timeout of 10 s ended the attempt.

Change: bodyArrival notes when the last byte is at this machine: a body with a length by counting the bytes read and those in the socket's buffer, a chunked one by the end of these bytes, once its client is silent. The event loop's deadline, pending and the time that a backend is told count from then, whether the attempt waits for checks, a connection, the backend's reading or its answer. At the deadline the Balancer ends an attempt that is not completely sent (CancelAttempt). The attempt's lifecycle has a state for the last byte: it is either withheld, and the answer is a 503 that nobody ran, or may have been written, and the answer is a 504. The simulator has no incomplete requests, so no decision of it changes.

Why this works: the moment no longer depends on what the backend takes. No body is held in memory for it.

Existing tests changed in their calls only: RequestWritten has no time left, RequestReceived has.

--- a/balance/action.go
+++ b/balance/action.go
@@ -5,12 +5,13 @@
 // ActionKind is the kind of an Action.
 type ActionKind uint8
 
-// Kinds of actions, with the fields of Action that each kind uses. The Balancer does not emit CancelAttempt,
-// UnwatchEndpoints, FetchEndpoints, SendToPeer or CloseIdle yet, and sets no Timeout. The simulator's protocol has
-// them, and nodes carry them out.
+// Kinds of actions, with the fields of Action that each kind uses. The Balancer does not emit
+// UnwatchEndpoints, FetchEndpoints, SendToPeer or CloseIdle yet, and sets no Timeout. It emits CancelAttempt only for
+// incomplete requests, which the simulator does not have. The simulator's protocol has all of them, and nodes carry
+// them out.
 const (
 	Forward          ActionKind = iota // Request, Endpoint, Attempt, Timeout, StartWithin: start the next attempt
-	CancelAttempt                      // Request, Attempt: stop waiting for an attempt
+	CancelAttempt                      // Request, Attempt: end an attempt now; its AttemptEnded follows
 	Reject                             // Request, RetryAfter: the final answer; it tells the client that a retry is safe
 	Fail                               // Request: the final answer; a retry may not be safe
 	HealthCheck                        // Endpoint: send a health check
@@ -49,6 +50,11 @@
 	return Action{Kind: Forward, Request: request, Endpoint: endpoint, Attempt: attempt, StartWithin: startWithin}
 }
 
+// cancelAttempt returns the action that ends an attempt of a request.
+func cancelAttempt(request string, attempt int) Action {
+	return Action{Kind: CancelAttempt, Request: request, Attempt: attempt}
+}
+
 // reject returns the final answer that tells the client that a retry after retryAfter is safe.
 func reject(request string, retryAfter time.Duration) Action {
 	return Action{Kind: Reject, Request: request, RetryAfter: retryAfter}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -109,6 +109,8 @@
 		b.onDiscoveryFailed()
 	case RequestArrived:
 		b.onRequestArrived(&ev)
+	case RequestReceived:
+		b.onRequestReceived(&ev)
 	case RequestWritten:
 		b.onRequestWritten(&ev)
 	case StreamStarted:
--- a/balance/event.go
+++ b/balance/event.go
@@ -35,16 +35,23 @@
 	ExpectedWork  time.Duration // 0: unknown
 	ClientRetry   bool          // the client marked it as a retry
 	Mutates       bool
-	// Incomplete is set while the request's body is still being received: the deadline and the time left start with
-	// RequestWritten.
+	// Incomplete is set if the request is forwarded while its body is still being received: the deadline and the time
+	// left start with RequestReceived, and its attempt counts as sent with RequestWritten.
 	Incomplete bool
 }
 
-// RequestWritten is sent when the last byte of an incomplete request has been sent to its endpoint.
-type RequestWritten struct {
+// RequestReceived is sent when the last byte of an incomplete request has reached this node's machine. The node may not
+// have read it yet.
+type RequestReceived struct {
 	Request  string
-	Attempt  int
-	TimeLeft time.Duration
+	TimeLeft time.Duration // time until the client gives up this request
+}
+
+// RequestWritten is sent when the last byte of an incomplete request has been sent to its endpoint. RequestReceived
+// precedes it.
+type RequestWritten struct {
+	Request string
+	Attempt int
 }
 
 // StreamStarted is sent when the first part of the answer has reached the client. The request then has no deadline.
@@ -107,6 +114,7 @@
 func (EndpointsListed) isEvent()    {}
 func (DiscoveryFailed) isEvent()    {}
 func (RequestArrived) isEvent()     {}
+func (RequestReceived) isEvent()    {}
 func (RequestWritten) isEvent()     {}
 func (StreamStarted) isEvent()      {}
 func (ClientDisconnected) isEvent() {}
--- a/balance/request.go
+++ b/balance/request.go
@@ -22,7 +22,8 @@
 	attempts          []attempt
 	pendingAttempts   int
 	probeBoundSeconds float64 // of a probe admission: the bound on its wait; 0 for other requests
-	incomplete        bool    // its body is still being received
+	streamed          bool    // it is forwarded while its body is being received
+	incomplete        bool    // the last byte of its body has not reached this node's machine
 	notReplayable     bool    // the received part of its body has been consumed
 	finished          bool    // it has its final answer, or the client has disconnected
 	streamStarted     bool    // the first part of the answer has reached the client
@@ -62,6 +63,7 @@
 		workHint:   ev.ExpectedWork,
 		arrived:    b.now,
 		deadline:   b.now + ev.TimeLeft,
+		streamed:   ev.Incomplete,
 		incomplete: ev.Incomplete,
 	}
 	b.requests[r.id] = r
@@ -119,30 +121,42 @@
 		waitAtSendSeconds: queue * b.serviceSeconds(e),
 		pending:           true,
 		mayHaveRun:        true,
-		incomplete:        r.incomplete,
+		incomplete:        r.streamed,
 	})
 	e.slowStartCreditSeconds -= b.workSeconds(r)
 	r.pendingAttempts++
 	b.emit(forward(r.id, e.ID, len(r.attempts)-1, b.startWithin(r)))
-	if !r.incomplete {
+	if !r.streamed {
 		b.countInFlight(r)
 	}
 }
 
-// onRequestWritten handles that the last byte of an incomplete request has been sent, and starts its deadline. An
-// endpoint starts a request when it has received the last byte. Until then the request is not in the endpoint's queue,
-// and the time that the client needs to send it says nothing about the endpoint.
-func (b *Balancer) onRequestWritten(ev *RequestWritten) {
+// onRequestReceived handles that the last byte of an incomplete request has reached this node's machine, and starts
+// its deadline. The deadline does not depend on the endpoint, which may take the body slowly or not at all.
+func (b *Balancer) onRequestReceived(ev *RequestReceived) {
 	r := b.requests[ev.Request]
-	if r == nil || !r.incomplete || ev.Attempt != len(r.attempts)-1 || r.pendingAttempt(ev.Attempt) == nil {
+	if r == nil || !r.incomplete {
 		return
 	}
 	r.incomplete = false
-	r.notReplayable = true
 	r.arrived = b.now
 	r.deadline = b.now + ev.TimeLeft
 	b.setTimer(ev.TimeLeft, timer{kind: requestDeadline, request: r})
-	a := r.lastAttempt()
+}
+
+// onRequestWritten handles that the last byte of an incomplete request has been sent. An endpoint starts a request when
+// it has received the last byte. Until then the request is not in the endpoint's queue, and the time that the client
+// needs to send it says nothing about the endpoint.
+func (b *Balancer) onRequestWritten(ev *RequestWritten) {
+	r := b.requests[ev.Request]
+	if r == nil || ev.Attempt != len(r.attempts)-1 {
+		return
+	}
+	a := r.pendingAttempt(ev.Attempt)
+	if a == nil || !a.incomplete {
+		return
+	}
+	r.notReplayable = true
 	a.incomplete = false
 	a.sentAt = b.now
 	a.queueAtSend = b.queueEstimate(a.endpoint)
@@ -208,6 +222,20 @@
 	}
 }
 
+// expire handles the deadline of a request. If the last byte of an attempt may not have been sent yet, the node ends
+// the attempt first: only the status of the attempt tells whether the endpoint can have run the request.
+func (b *Balancer) expire(r *request) {
+	if r.finished || r.streamStarted {
+		return
+	}
+	last := len(r.attempts) - 1
+	if a := r.pendingAttempt(last); a != nil && a.incomplete {
+		b.emit(cancelAttempt(r.id, last))
+		return
+	}
+	b.endRequest(r)
+}
+
 // endRequest gives a request its final answer: a rejection if a retry by the client is safe, a failure otherwise.
 func (b *Balancer) endRequest(r *request) {
 	if r.finished {
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -31,7 +31,11 @@
 		t.Errorf("in flight %v before the last byte, want 0", e.inFlight)
 	}
 	at := 9 * time.Second // much longer than the client waits
-	out := b.Handle(at, RequestWritten{Request: "a", TimeLeft: time.Second}, nil)
+	out := b.Handle(at, RequestReceived{Request: "a", TimeLeft: time.Second}, nil)
+	if e.inFlight != 0 {
+		t.Errorf("in flight %v before the last byte is sent, want 0", e.inFlight)
+	}
+	b.Handle(at, RequestWritten{Request: "a"}, nil)
 	if e.inFlight != 1 {
 		t.Errorf("in flight %v after the last byte, want 1", e.inFlight)
 	}
@@ -51,6 +55,34 @@
 	}
 }
 
+// The deadline of an incomplete request that is not completely sent ends its attempt. Only the status of the attempt
+// tells whether the request may have run, and whether it may be rejected.
+func TestDeadlineEndsAnUnsentAttemptFirst(t *testing.T) {
+	for status, want := range map[Status]ActionKind{
+		StatusNotDelivered: Reject, StatusNotSent: Reject, StatusTimedOut: Fail,
+	} {
+		h := newHarness(t, testConfig(), listedEndpoint(1, 0, 0), listedEndpoint(2, 0, 0))
+		h.handle(RequestArrived{Request: "x", Class: nonIdempotent, TimeLeft: time.Second, Incomplete: true})
+		to := h.forwardedTo()
+		timers := ofKind(SetTimer, h.handle(RequestReceived{Request: "x", TimeLeft: time.Second}))
+		if len(timers) != 1 || timers[0].Delay != time.Second {
+			t.Fatalf("got timers %+v, want one of a second", timers)
+		}
+		h.advance(time.Second)
+		ended := h.handle(TimerFired{ID: timers[0].TimerID})
+		if len(ended) != 1 || ended[0].Kind != CancelAttempt || ended[0].Request != "x" || ended[0].Attempt != 0 {
+			t.Errorf("got actions %+v at the deadline, want the end of attempt 0", ended)
+		}
+		final := h.endAttempt("x", 0, to, status)
+		if len(ofKind(want, final)) != 1 || len(ofKind(Forward, final)) != 0 {
+			t.Errorf("status %v: got actions %+v, want %v", status, final, want)
+		}
+		if len(h.b.requests) != 0 {
+			t.Errorf("status %v: the request is still stored", status)
+		}
+	}
+}
+
 // A request without an answer gets its final answer at its deadline, and only one final answer.
 func TestDeadlineEndsEveryRequest(t *testing.T) {
 	for class, want := range map[int]ActionKind{idempotent: Reject, nonIdempotent: Fail, keyedZone: Fail} {
--- a/balance/timer.go
+++ b/balance/timer.go
@@ -52,9 +52,7 @@
 	}
 	switch t.kind {
 	case requestDeadline:
-		if !t.request.finished && !t.request.streamStarted {
-			b.endRequest(t.request)
-		}
+		b.expire(t.request)
 	case healthCheckWait:
 		b.stopAwaitingChecks(t.request)
 	case lossCheck:
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -132,6 +132,23 @@
 	}
 }
 
+// endAttempt carries out the Balancer's decision to end an attempt at the deadline of its request. The status says
+// whether the backend can have run the request: not if the last byte had not been written.
+func (l *eventLoop) endAttempt(r *request, number int) {
+	a := r.attempts[number]
+	status := balance.StatusTimedOut
+	switch {
+	case a.ended():
+		return
+	case a.call.cancelUnsent():
+		status = balance.StatusNotSent
+	case a.call.cancelUndelivered():
+		status = balance.StatusNotDelivered
+	}
+	a.call.cancel()
+	l.finishAttempt(r, number, attemptResult{status: status, notReplayable: r.forwarded.upload != nil})
+}
+
 // cancelAttempt ends an attempt and closes its connection. The attempt ends with the given status, or with
 // StatusNotSent if none of its bytes had been written.
 func (l *eventLoop) cancelAttempt(r *request, number int, status balance.Status) {
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -40,6 +40,8 @@
 	// follow on the connection.
 	openEnded bool
 
+	progress bodyProgress // guarded by the lock of connState
+
 	openedAt   time.Time
 	lastByteAt monotime.Atomic // when bytes were last received; zero if none were
 }
@@ -108,6 +110,7 @@
 	if head != nil {
 		c.bodyLeft = head.ContentLength
 		c.openEnded = head.LastOnConnection
+		c.beginBody(int64(len(data)-used+len(c.buffered)), *head)
 		c.addHead(*head)
 	}
 	if used < len(data) {
--- a/internal/node/client_conn_receive.go
+++ b/internal/node/client_conn_receive.go
@@ -15,14 +15,22 @@
 	if c.raw == nil {
 		socket, ok := c.Conn.(syscall.Conn)
 		if !ok {
-			return c.Conn.Read(p) // the connection has no socket
+			n, err = c.Conn.Read(p) // the connection has no socket
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.progress.add(p[:max(n, 0)])
+			return n, err
 		}
 		if c.raw, err = socket.SyscallConn(); err != nil {
 			return 0, err
 		}
 	}
 	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
-		n, err = c.readUnlessClosed(func() (int, error) { return readRetryingInterrupts(int(fd), p) })
+		n, err = c.readUnlessClosed(func() (int, error) {
+			received, err := readRetryingInterrupts(int(fd), p)
+			c.progress.add(p[:max(received, 0)])
+			return received, err
+		})
 		return !errors.Is(err, syscall.EAGAIN)
 	})
 	var opErr *net.OpError
--- a/internal/node/client_server.go
+++ b/internal/node/client_server.go
@@ -188,12 +188,15 @@
 	if body := r.forwarded.upload; body == nil {
 		recorder.begin()
 	} else {
-		body.onComplete = recorder.begin // a streamed request is pending from its last byte on
-		defer body.discard()             // runs after the outcome is recorded below, since it may take long
+		s.prepareArrival(hr, r, recorder.begin)
+		defer body.discard() // runs after the outcome is recorded below, since it may take long
 	}
 	outcome := responseFailed
 	defer func() { recorder.finish(outcome) }()
 	s.loop.post(requestArrived{r})
+	if body := r.forwarded.upload; body != nil {
+		defer body.arrival.watch()()
+	}
 	select {
 	case response := <-r.response:
 		s.writeFinalResponse(w, hr, r, response, recorder)
--- a/internal/node/event_loop.go
+++ b/internal/node/event_loop.go
@@ -177,7 +177,7 @@
 		l.startAttempt(a)
 	case balance.CancelAttempt:
 		if r := l.requests[a.Request]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
-			l.cancelAttempt(r, a.Attempt, balance.StatusCancelled)
+			l.endAttempt(r, a.Attempt)
 		}
 	case balance.Reject:
 		l.respond(l.requests[a.Request], finalResponse{kind: responseRejected, retryAfter: a.RetryAfter})
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -60,9 +60,11 @@
 const (
 	// attemptQueued: no byte of the request has been written; the attempt may wait for a connection.
 	attemptQueued attemptState = iota
-	// attemptWriting: bytes of the request may have been written; once all are written, the backend may execute it.
+	// attemptWriting: bytes of the request may have been written, but not the last one; the backend cannot execute it.
 	attemptWriting
-	// attemptCancelled: the attempt was cancelled before its first byte; nothing of it will be written.
+	// attemptDelivered: the last byte of the request may have been written; the backend may execute it.
+	attemptDelivered
+	// attemptCancelled: the attempt was cancelled before its last byte, which will not be written.
 	attemptCancelled
 	// attemptEnded: the event loop has recorded the result; it ignores any later result.
 	attemptEnded
@@ -70,7 +72,7 @@
 	attemptStates
 )
 
-var attemptStateNames = [attemptStates]string{"queued", "writing", "cancelled", "ended"}
+var attemptStateNames = [attemptStates]string{"queued", "writing", "delivered", "cancelled", "ended"}
 
 func (s attemptState) String() string { return attemptStateNames[s] }
 
@@ -80,27 +82,36 @@
 const (
 	// writeStarting: the attempt has a connection and is about to write its first byte.
 	writeStarting attemptEvent = iota
+	// lastByteStarting: the attempt is about to write the last byte of the request.
+	lastByteStarting
 	// cancelledBeforeWrite: the event loop cancels an attempt of which nothing has been written.
 	cancelledBeforeWrite
+	// cancelledBeforeLastByte: the event loop cancels an attempt whose last byte has not been written.
+	cancelledBeforeLastByte
 	// resultRecorded: the event loop has the result of the attempt.
 	resultRecorded
 	// attemptEvents is the number of events.
 	attemptEvents
 )
 
-var attemptEventNames = [attemptEvents]string{"write starting", "cancelled before write", "result recorded"}
+var attemptEventNames = [attemptEvents]string{"write starting", "last byte starting", "cancelled before write",
+	"cancelled before last byte", "result recorded"}
 
 func (e attemptEvent) String() string { return attemptEventNames[e] }
 
 // next returns the state after an event. It returns the same state and false if the event is no longer allowed: a
-// cancelled attempt never writes, an attempt that has begun to write never becomes attemptCancelled, and a result is
-// recorded once.
+// cancelled attempt never writes its last byte, an attempt that has begun to write its last byte never becomes
+// attemptCancelled, and a result is recorded once.
 func (s attemptState) next(event attemptEvent) (attemptState, bool) {
 	switch {
 	case s == attemptQueued && event == writeStarting:
 		return attemptWriting, true
+	case s == attemptWriting && event == lastByteStarting:
+		return attemptDelivered, true
 	case s == attemptQueued && event == cancelledBeforeWrite:
 		return attemptCancelled, true
+	case (s == attemptQueued || s == attemptWriting) && event == cancelledBeforeLastByte:
+		return attemptCancelled, true
 	case s != attemptEnded && event == resultRecorded:
 		return attemptEnded, true
 	}
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -38,11 +38,15 @@
 		event attemptEvent
 	}
 	allowed := map[transition]attemptState{
-		{attemptQueued, writeStarting}:        attemptWriting,
-		{attemptQueued, cancelledBeforeWrite}: attemptCancelled,
-		{attemptQueued, resultRecorded}:       attemptEnded,
-		{attemptWriting, resultRecorded}:      attemptEnded,
-		{attemptCancelled, resultRecorded}:    attemptEnded,
+		{attemptQueued, writeStarting}:            attemptWriting,
+		{attemptQueued, cancelledBeforeWrite}:     attemptCancelled,
+		{attemptQueued, cancelledBeforeLastByte}:  attemptCancelled,
+		{attemptQueued, resultRecorded}:           attemptEnded,
+		{attemptWriting, lastByteStarting}:        attemptDelivered,
+		{attemptWriting, cancelledBeforeLastByte}: attemptCancelled,
+		{attemptWriting, resultRecorded}:          attemptEnded,
+		{attemptDelivered, resultRecorded}:        attemptEnded,
+		{attemptCancelled, resultRecorded}:        attemptEnded,
 	}
 	for from := range attemptStates {
 		for event := range attemptEvents {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -53,13 +53,18 @@
 
 func (m clientDisconnected) handle(l *eventLoop) { l.disconnectClient(m.request) }
 
-// requestWritten reports that the last byte of a streamed request has been written to its backend.
-type requestWritten struct {
+// requestReceived reports that the last byte of a streamed request has reached this machine.
+type requestReceived struct {
 	request  *request
-	deadline time.Time // the request's deadline, which is set when its last byte is written
+	deadline time.Time // the request's deadline, which counts from that byte
 }
 
-func (m requestWritten) handle(l *eventLoop) { l.recordWritten(m.request, m.deadline) }
+func (m requestReceived) handle(l *eventLoop) { l.recordReceived(m.request, m.deadline) }
+
+// requestWritten reports that the last byte of a streamed request has been written to its backend.
+type requestWritten struct{ request *request }
+
+func (m requestWritten) handle(l *eventLoop) { l.recordWritten(m.request) }
 
 // attemptFinished reports the result of one attempt of a request.
 type attemptFinished struct {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -17,7 +17,7 @@
 	expectedWork  time.Duration
 	clientRetry   bool      // the client has sent the request before
 	startedAt     time.Time // when the first byte of the request arrived
-	deadline      time.Time // zero until the body of a streamed request has been written completely
+	deadline      time.Time // zero until the last byte of a streamed request has reached this machine
 	forwarded     forwardedRequest
 	bodyBytes     int64              // how much of the memory for bodies the body occupies
 	response      chan finalResponse // buffered; the event loop sends the one final response on it
@@ -69,9 +69,8 @@
 	if streamed {
 		timeLeft = r.forwarded.timeLeft
 		r.forwarded.onWritten = func() time.Time {
-			deadline := l.shutdown.capDeadline(time.Now().Add(r.forwarded.timeLeft))
-			l.post(requestWritten{request: r, deadline: deadline})
-			return deadline
+			l.post(requestWritten{request: r})
+			return r.forwarded.upload.arrival.deadline()
 		}
 	}
 	l.handle(balance.RequestArrived{
@@ -87,20 +86,24 @@
 	})
 }
 
-// recordWritten records that the last byte of a streamed request has been written, and the deadline that starts with
-// this byte.
-func (l *eventLoop) recordWritten(r *request, deadline time.Time) {
+// recordReceived records that the last byte of a streamed request has reached this machine, and the deadline that
+// starts with this byte.
+func (l *eventLoop) recordReceived(r *request, deadline time.Time) {
+	if l.requests[r.id] != r || !r.isOpen() {
+		return
+	}
 	r.deadline = deadline
+	l.handle(balance.RequestReceived{Request: r.id, TimeLeft: max(time.Until(deadline), 0)})
+}
+
+// recordWritten records that the last byte of a streamed request has been written to its backend.
+func (l *eventLoop) recordWritten(r *request) {
 	last := len(r.attempts) - 1
 	if !r.isOpen() || last < 0 || r.attempts[last].ended() {
 		return
 	}
 	r.attempts[last].sentAt = l.now()
-	l.handle(balance.RequestWritten{
-		Request:  r.id,
-		Attempt:  last,
-		TimeLeft: max(time.Until(deadline), 0),
-	})
+	l.handle(balance.RequestWritten{Request: r.id, Attempt: last})
 }
 
 // disconnectClient ends a request whose client has closed the connection, and cancels the attempts of the request.
--- a/internal/node/request_stream.go
+++ b/internal/node/request_stream.go
@@ -13,11 +13,14 @@
 // errBodyAbandoned is returned for a read of a body that is no longer forwarded.
 var errBodyAbandoned = errors.New("the rest of the request body is no longer forwarded")
 
+// errLastByteWithheld is returned if the last byte of a body must no longer be written.
+var errLastByteWithheld = errors.New("the attempt was cancelled before the last byte of its request body")
+
 // requestStream is the body of a request that is forwarded while it arrives. It can be sent to one backend only.
 type requestStream struct {
-	buffered   []byte // the first bytes, which have been read already
-	size       int64  // in bytes; -1 if unknown
-	onComplete func() // called once the last byte of the body has been read; set before the first read
+	buffered []byte // the first bytes, which have been read already
+	size     int64  // in bytes; -1 if unknown
+	arrival  bodyArrival
 
 	complete   atomic.Bool  // the last byte of the body has been read
 	readLength atomic.Int64 // bytes of the body that have been read to be forwarded
@@ -51,7 +54,7 @@
 	s.readLength.Add(int64(n))
 	if err == io.EOF {
 		s.complete.Store(true)
-		s.onComplete()
+		s.arrival.note()
 	}
 	if n > 0 {
 		err = nil // the next call returns the error
@@ -90,9 +93,10 @@
 	}
 }
 
-// copyTo sends the body to a backend. It returns nil when the last byte has been written. writeFailed says whether the
-// error came from writing to the backend, and not from reading the client's body.
-func (s *requestStream) copyTo(backend *connpool.Conn) (writeFailed bool, err error) {
+// copyTo sends the body to a backend. It returns nil when the last byte has been written. It calls beginLastByte before
+// it writes this byte, and does not write it if the result is false. writeFailed says whether the error came from
+// writing to the backend, and not from reading the client's body.
+func (s *requestStream) copyTo(backend *connpool.Conn, beginLastByte func() bool) (writeFailed bool, err error) {
 	buffer := streamBuffers.Get().(*[streamBufferSize]byte)
 	defer streamBuffers.Put(buffer)
 	chunked := s.size < 0
@@ -101,7 +105,7 @@
 	if chunked {
 		w = httputil.NewChunkedWriter(wire)
 	}
-	for {
+	for passedOn := int64(0); ; {
 		piece, err := s.next(buffer[:])
 		if err == io.EOF {
 			break
@@ -109,6 +113,10 @@
 		if err != nil {
 			return false, err
 		}
+		passedOn += int64(len(piece))
+		if passedOn == s.size && !beginLastByte() {
+			return true, errLastByteWithheld
+		}
 		if _, err := w.Write(piece); err != nil {
 			return true, err
 		}
@@ -116,6 +124,9 @@
 	if !chunked {
 		return false, nil
 	}
+	if !beginLastByte() {
+		return true, errLastByteWithheld
+	}
 	w.Close()
 	_, err = io.WriteString(wire, "\r\n")
 	return true, err
--- a/internal/node/slow_body_test.go
+++ b/internal/node/slow_body_test.go
@@ -190,10 +190,9 @@
 		defer backend.Close()
 		defer node.Close()
 		stream := &requestStream{
-			source:     waitingReader(maxBodyStall - 100*time.Millisecond),
-			size:       -1,
-			buffered:   make([]byte, streamBufferSize),
-			onComplete: func() {},
+			source:   waitingReader(maxBodyStall - 100*time.Millisecond),
+			size:     -1,
+			buffered: make([]byte, streamBufferSize),
 		}
 		received := make(chan string, 1)
 		go func() {
@@ -201,7 +200,7 @@
 			body, _ := io.ReadAll(backend)
 			received <- string(body)
 		}()
-		if _, err := stream.copyTo(&connpool.Conn{Conn: node}); err != nil {
+		if _, err := stream.copyTo(&connpool.Conn{Conn: node}, func() bool { return true }); err != nil {
 			t.Errorf("got error %v, want none", err)
 		}
 		node.Close()
--- a/internal/node/socket_state.go
+++ b/internal/node/socket_state.go
@@ -47,6 +47,28 @@
 	return state
 }
 
+// States of a TCP connection in TCP_INFO (Linux, include/net/tcp_states.h).
+const (
+	tcpClosed    = 7 // reset by the peer
+	tcpCloseWait = 8 // the peer has closed its side
+)
+
+// peerHasClosed reports whether the peer has closed its side of a connection or reset it, also if bytes that it sent
+// before are still unread. It returns false if the system does not know.
+func peerHasClosed(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			closed = info.State == tcpClosed || info.State == tcpCloseWait
+		}
+	})
+	return closed
+}
+
 // minReceiveWait is the shortest time that sinceLastReceive returns. Shorter times are not accurate, because the
 // kernel rounds them to ticks of up to 10 ms.
 const minReceiveWait = 20 * time.Millisecond
--- a/internal/node/streamed_request.go
+++ b/internal/node/streamed_request.go
@@ -15,10 +15,12 @@
 }
 
 // streamRequest writes a request while its body is still arriving from the client, and reads the response, which may
-// precede the end of the body. The deadline of the exchange counts from the last byte of the body.
+// precede the end of the body. The deadline of the exchange counts from when the last byte of the body has reached this
+// machine.
 func (e *upstreamExchange) streamRequest(ctx context.Context) attemptResult {
 	upload := e.request.upload
-	head := e.request.encodeHead(e.conn.Server.Addr, e.request.timeLeft)
+	upload.arrival.check()
+	head := e.request.encodeHead(e.conn.Server.Addr, upload.arrival.remaining(e.request.timeLeft))
 	if _, err := (stallLimitedWriter{e.conn}).Write(head); err != nil {
 		e.discard(ctx, "request not written", err)
 		return attemptResult{status: balance.StatusNotDelivered, notReplayable: upload.anyForwarded()}
@@ -44,7 +46,7 @@
 // a write times out, copyUpload closes the connection. After any other write error the connection stays open, because a
 // response that the backend sent before the error can still be read.
 func (e *upstreamExchange) copyUpload(uploaded chan<- uploadResult) {
-	writeFailed, err := e.request.upload.copyTo(e.conn)
+	writeFailed, err := e.request.upload.copyTo(e.conn, e.call.beginLastByte)
 	uploaded <- uploadResult{writeFailed: writeFailed, complete: err == nil, err: err}
 	switch {
 	case err == nil:
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -79,6 +79,13 @@
 // backend must not get the first byte of a request after its drain grace, and a dial may take longer than the grace.
 func (c *upstreamCall) cancelUnsent() bool { return c.lifecycle.apply(cancelledBeforeWrite) }
 
+// cancelUndelivered cancels the call if its last byte has not been written, and reports whether it did. The backend can
+// then not run the request.
+func (c *upstreamCall) cancelUndelivered() bool { return c.lifecycle.apply(cancelledBeforeLastByte) }
+
+// beginLastByte reports whether the last byte may be written now. If so, the backend may run the request from now on.
+func (c *upstreamCall) beginLastByte() bool { return c.lifecycle.apply(lastByteStarting) }
+
 // beginWrite reports whether the first byte may be written now. If so, the call counts as being written from now on.
 func (c *upstreamCall) beginWrite() bool {
 	late := !c.startBy.IsZero() && !time.Now().Before(c.startBy)
@@ -91,7 +98,8 @@
 
 // start sends a request to a backend and calls done with the result from another goroutine. If the first byte has not
 // been written by call.startBy, the request is not sent. At the deadline, the exchange is cancelled and its connection
-// closed. The deadline is ignored for a streamed request, whose deadline is only known when its last byte is written.
+// closed. The deadline is ignored for a streamed request, whose deadline is only known when its last byte has arrived:
+// the event loop then cancels the exchange at that deadline.
 func (t *upstreamTransport) start(
 	call *upstreamCall, to connpool.Server, request *forwardedRequest, deadline time.Time, done func(attemptResult),
 ) {
@@ -126,7 +134,7 @@
 	// A cancelled exchange closes its connection immediately, so that no later response can reach a client.
 	detach := context.AfterFunc(ctx, func() { conn.Close() })
 	defer detach()
-	e := &upstreamExchange{transport: t, conn: conn, request: request, detach: detach}
+	e := &upstreamExchange{transport: t, call: call, conn: conn, request: request, detach: detach}
 	if request.upload != nil {
 		return e.streamRequest(ctx)
 	}
@@ -164,8 +172,8 @@
 	return balance.StatusConnectionLost
 }
 
-// logFailure logs, at a bounded rate, why an exchange got no complete response. Cancelled exchanges are not logged. args
-// are further attributes for the log.
+// logFailure logs, at a bounded rate, why an exchange got no complete response. Cancelled exchanges are not logged.
+// args are further attributes for the log.
 func (t *upstreamTransport) logFailure(
 	ctx context.Context, request *forwardedRequest, to connpool.Server, reason string, err error, args ...any,
 ) {
@@ -179,6 +187,7 @@
 // upstreamExchange is an exchange that has a connection.
 type upstreamExchange struct {
 	transport *upstreamTransport
+	call      *upstreamCall
 	conn      *connpool.Conn
 	request   *forwardedRequest
 	detach    func() bool // stops the context from closing the connection; returns false if the context has ended
@@ -191,6 +200,10 @@
 func (e *upstreamExchange) sendRequest(ctx context.Context, deadline time.Time) attemptResult {
 	e.conn.SetDeadline(deadline)
 	head := e.request.encodeHead(e.conn.Server.Addr, time.Until(deadline))
+	if !e.call.beginLastByte() {
+		e.transport.pool.Discard(e.conn)
+		return attemptResult{status: balance.StatusNotDelivered}
+	}
 	message := net.Buffers{head, e.request.body}
 	written, err := message.WriteTo(e.conn.Conn)
 	if err != nil {
