Lab: long bodies that are sent at once, and backends that stop reading

Its longest bodies were sent slowly, and its backends read every body to the end.

Change: load.long_bodies (bodies of 3 to 10 MB, half of them chunked; the client's time counts from when the node's machine has acknowledged the last byte) and backend.stops_reading. Clients of such a load connect directly, and the links' buffers are small if backends stop reading, as a link would take megabytes more than a backend's machine.

--- a/cmd/hitchvale/lab.go
+++ b/cmd/hitchvale/lab.go
@@ -148,6 +148,8 @@
 	c.Flags().BoolVar(&behavior.RunTwice, "twice", false, "deliberate bug for tests: run every POST twice")
 	c.Flags().Float64Var(&behavior.ResetShare, "resets", 0, "share of requests whose connection ends after they have run")
 	c.Flags().Float64Var(&behavior.HangShare, "hangs", 0, "share of requests answered far too late")
+	c.Flags().Float64Var(&behavior.StopReadingShare, "stops-reading", 0,
+		"share of requests of which only a part of the body is read, and which are not answered")
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the random errors")
 	return c
 }
--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -21,6 +21,11 @@
 	backendStream = 2
 	// hangDuration is how long a hanging request takes in addition to its service time.
 	hangDuration = 2 * time.Second
+	// stopReadingDuration is how long a backend that stops reading a body keeps the connection. It is longer than a node
+	// waits for a backend that takes nothing.
+	stopReadingDuration = 15 * time.Second
+	// maxReadBeforeStop is how many bytes of a body are read at most before the backend stops reading.
+	maxReadBeforeStop = 1 << 20
 	// backendReadHeaderTimeout bounds the wait for a request's head.
 	backendReadHeaderTimeout = 5 * time.Second
 )
@@ -76,6 +81,11 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
+	if share := backend.Behavior.StopReadingShare; share > 0 && r.ContentLength != 0 && backend.draw(share) {
+		io.CopyN(io.Discard, r.Body, backend.drawBytes(maxReadBeforeStop))
+		time.Sleep(stopReadingDuration)
+		panic(http.ErrAbortHandler) // not executed
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler) // the execution starts only when the last byte has arrived
 	}
@@ -125,6 +135,13 @@
 	return backend.rng.Float64() < share
 }
 
+// drawBytes draws a number of bytes below limit.
+func (backend *BackendServer) drawBytes(limit int64) int64 {
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	return backend.rng.Int64N(limit)
+}
+
 // record appends an execution to the log.
 func (backend *BackendServer) record(execution Execution) error {
 	line, err := json.Marshal(execution)
--- a/internal/lab/driver.go
+++ b/internal/lab/driver.go
@@ -94,6 +94,9 @@
 	if delay.initial == initialSlowBody {
 		request.body = drawSlowBody(rng)
 	}
+	if share := driver.Load.LongBodyShare; share > 0 && delay.initial == "" && rng.Float64() < share {
+		request.body = drawLongBody(rng)
+	}
 	switch {
 	case driver.Load.StalledClients && i%stalledClientInterval == stalledClientInterval/2:
 		return func(context.Context) { driver.runStalledClient(node) }
@@ -116,7 +119,8 @@
 	if request.class == classToken {
 		request.key = fmt.Sprintf("%032x", rng.Uint64())
 	}
-	request.deadline = time.Now().Add(driver.Load.Deadline.Duration)
+	request.timeout = driver.Load.Deadline.Duration
+	request.deadline = time.Now().Add(request.timeout)
 	if rng.Float64() < driver.Load.DisconnectShare {
 		delay := time.Duration(rng.Float64() * float64(maxDisconnectDelay))
 		request.disconnectAt = time.Now().Add(delay)
--- a/internal/lab/exchange.go
+++ b/internal/lab/exchange.go
@@ -18,10 +18,11 @@
 type clientRequest struct {
 	trace        string
 	class        string
-	key          string    // idempotency key; "": none
-	body         longBody  // the length and form of the body of a POST
-	deadline     time.Time // when its client stops waiting
-	disconnectAt time.Time // when its client disconnects; zero: the client does not disconnect
+	key          string        // idempotency key; "": none
+	body         longBody      // the length and form of the body of a POST
+	deadline     time.Time     // when its client stops waiting
+	timeout      time.Duration // how long its client waits, counted from the last byte of a body that is sent at once
+	disconnectAt time.Time     // when its client disconnects; zero: the client does not disconnect
 }
 
 // method returns the HTTP method of the request's class.
@@ -33,7 +34,12 @@
 }
 
 // text returns the request as a client sends it now, with the time that remains until its deadline.
-func (r *clientRequest) text() string { return r.textWithTimeout(time.Until(r.deadline)) }
+func (r *clientRequest) text() string {
+	if r.body.sentAtOnce {
+		return r.textWithTimeout(r.timeout)
+	}
+	return r.textWithTimeout(time.Until(r.deadline))
+}
 
 // textWithTimeout returns the request of a client that waits for its response for timeout from now on.
 func (r *clientRequest) textWithTimeout(timeout time.Duration) string {
@@ -109,6 +115,9 @@
 // no complete response. silent says that no byte of a response came, or that only a part of the request was written.
 func (c *client) exchange(conn *clientConn, request *clientRequest, outcome *Outcome) (silent bool, err error) {
 	until := request.deadline.Add(responseGrace)
+	if request.body.sentAtOnce {
+		until = time.Now().Add(longBodyTimeout)
+	}
 	disconnects := !request.disconnectAt.IsZero() && request.disconnectAt.Before(until)
 	if disconnects {
 		until = request.disconnectAt
@@ -120,13 +129,20 @@
 		text = request.text()
 	}
 	_, writeErr := io.WriteString(conn, text)
+	if request.body.sentAtOnce && writeErr == nil {
+		writeErr = conn.awaitReceipt(request, outcome, until)
+	}
 	// After a failed write too, since the node may have responded before it had the complete request.
 	response, silent, err := readResponse(conn, request)
+	outcome.DoneAt = time.Now().UnixNano()
 	if writeErr != nil && err != nil {
 		outcome.Kind = kindIncomplete
+		if disconnects && !time.Now().Before(request.disconnectAt) { // the client has not waited for its write
+			outcome.Kind = kindClientDisconnected
+			outcome.DisconnectedAt = outcome.DoneAt
+		}
 		return true, writeErr
 	}
-	outcome.DoneAt = time.Now().UnixNano()
 	if err != nil {
 		outcome.Kind = errorKind(err, silent, disconnects)
 		if outcome.Kind == kindClientDisconnected {
--- a/internal/lab/load_setup.go
+++ b/internal/lab/load_setup.go
@@ -39,6 +39,9 @@
 	return nil
 }
 
+// unreadLinkBuffer is the size of a link's buffers, in bytes, if backends stop reading.
+const unreadLinkBuffer = 64 << 10
+
 // newMember returns the entry of a stand-in backend in the endpoint list.
 func newMember(id, addr string) Member {
 	return Member{ID: id, HostPort: addr, Locality: "a", Flavor: "m", Phase: phaseReady, Size: 1}
@@ -56,6 +59,7 @@
 			"--errors", fmt.Sprint(behavior.ErrorShare),
 			"--resets", fmt.Sprint(behavior.ResetShare),
 			"--hangs", fmt.Sprint(behavior.HangShare),
+			"--stops-reading", fmt.Sprint(behavior.StopReadingShare),
 			"--seed", fmt.Sprint(run.scenario.Seed + uint64(j))}
 		if behavior.RunTwice {
 			argv = append(argv, "--twice")
@@ -103,6 +107,9 @@
 			return "", nil, err
 		}
 		run.attempts.recordAttempts(proxy, name, backend)
+		if run.scenario.Backend.StopReadingShare > 0 {
+			proxy.limitBuffers(unreadLinkBuffer)
+		}
 	}
 	discovery, err = run.openView(name)
 	if err != nil {
@@ -152,10 +159,11 @@
 
 // newNodeClients creates the clients of each node. A soak injects no faults on the clients' links, and its clients
 // connect to the nodes directly, because a proxy that waits for a processor would pass on a client's disconnect too
-// late.
+// late. Clients with long bodies connect directly too, because they have to know which bytes have reached the node's
+// machine.
 func (run *loadRun) newNodeClients() []*client {
 	for i := range run.scenario.Nodes {
-		if run.scenario.Soak != nil {
+		if run.scenario.Soak != nil || run.scenario.Load.LongBodyShare > 0 {
 			run.clients = append(run.clients, &client{target: run.listenAddr[i]})
 			continue
 		}
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -35,6 +35,7 @@
 	closed  bool
 	observe func(chunk []byte) // called with each chunk that a caller sends; nil: not called
 	refused map[string]bool    // by the caller's address: connections for which the target could not be reached
+	buffer  int                // size of the sockets' buffers towards the target, in bytes; 0: the system's
 	workers sync.WaitGroup
 }
 
@@ -122,6 +123,30 @@
 	p.observe = observe
 }
 
+// limitBuffers sets the size, in bytes, of the sockets' buffers on the way to the target, for new connections. With the
+// system's buffers a link holds megabytes that the target does not read.
+func (p *Proxy) limitBuffers(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.buffer = bytes
+}
+
+// applyBufferLimit sets the buffers of a connection's two sockets.
+func (p *Proxy) applyBufferLimit(caller, target net.Conn) {
+	p.mu.Lock()
+	buffer := p.buffer
+	p.mu.Unlock()
+	if buffer == 0 {
+		return
+	}
+	if tcp, ok := caller.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(buffer)
+	}
+	if tcp, ok := target.(*net.TCPConn); ok {
+		tcp.SetWriteBuffer(buffer)
+	}
+}
+
 func (p *Proxy) observer() func([]byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -209,6 +234,7 @@
 		return
 	}
 	defer p.untrack(target)
+	p.applyBufferLimit(c, target)
 	var toTarget sync.WaitGroup
 	toTarget.Go(func() { p.pipe(target, caller) })
 	p.pipe(c, target)
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -58,6 +58,9 @@
 	SplitRequestShare float64 `toml:"begun"`
 	// SlowBodyShare is the share whose client sends a long body slowly, if the request is a POST.
 	SlowBodyShare float64 `toml:"slow_bodies"`
+	// LongBodyShare is the share whose client sends a body of several megabytes at once, if the request is a POST and is
+	// not delayed. The clients of such a load connect to the nodes directly, and not through proxies.
+	LongBodyShare float64 `toml:"long_bodies"`
 	// StalledClients replaces some requests by clients that send the beginning of a request and then stay connected.
 	StalledClients bool `toml:"improper"`
 }
@@ -68,6 +71,9 @@
 	ErrorShare  float64  `toml:"errors"` // share answered with status 500
 	ResetShare  float64  `toml:"resets"` // share executed and then ended by a reset of the connection
 	HangShare   float64  `toml:"hangs"`  // share answered after hangDuration
+	// StopReadingShare is the share of which the backend reads a part of the body, and then reads and answers nothing for
+	// stopReadingDuration.
+	StopReadingShare float64 `toml:"stops_reading"`
 	// RunTwice makes the backends record two executions of every POST. It is a deliberate fault that the lab's checks must
 	// detect.
 	RunTwice bool `toml:"twice"`
--- a/internal/lab/scenario_check.go
+++ b/internal/lab/scenario_check.go
@@ -76,6 +76,8 @@
 	case load.SlowBodyShare < 0 || load.DelayedRequestShare+load.SplitRequestShare+load.SlowBodyShare > 1:
 		return tomlfile.KeyErrorf("load.slow_bodies", "%g is below 0, or above 1 together with load.late and load.begun",
 			load.SlowBodyShare)
+	case load.LongBodyShare < 0 || load.LongBodyShare > 1:
+		return tomlfile.KeyErrorf("load.long_bodies", "%g is outside 0 to 1", load.LongBodyShare)
 	}
 	return nil
 }
--- a/internal/lab/slow_bodies.go
+++ b/internal/lab/slow_bodies.go
@@ -28,6 +28,9 @@
 type longBody struct {
 	padding int // bytes that follow the short body
 	chunked bool
+	// sentAtOnce says that the client sends the body as fast as the node takes it. Its time counts from when the last byte
+	// has reached the node's machine.
+	sentAtOnce bool
 }
 
 // drawSlowBody draws a body that takes minSlowBodyTime to maxSlowBodyTime at slowBodyRate. Half of them are chunked.
--- a/internal/lab/soak_scenario.go
+++ b/internal/lab/soak_scenario.go
@@ -45,6 +45,7 @@
 		// Slow requests delay the end of a replaced process. Odd seeds have none, so that the process ends immediately.
 		scenario.Load.SplitRequestShare = 0
 		scenario.Load.SlowBodyShare = 0
+		scenario.Load.LongBodyShare = 0
 		scenario.Load.StalledClients = false
 	}
 	scenario.Faults = drawSoak(scenario)
