Count a streamed request's latency from the last byte sent, as before

Change: the time from which a streamed request's latency counts is again when its last byte was sent; its deadline stays as it is.

--- a/balance/request.go
+++ b/balance/request.go
@@ -17,7 +17,7 @@
 	stats             *classStats
 	tenant            int
 	workHint          time.Duration // expected work; 0: unknown
-	arrived           time.Duration
+	arrived           time.Duration // for a streamed request: when its last byte was sent
 	deadline          time.Duration
 	attempts          []attempt
 	pendingAttempts   int
@@ -139,14 +139,13 @@
 		return
 	}
 	r.incomplete = false
-	r.arrived = b.now
 	r.deadline = b.now + ev.TimeLeft
 	b.setTimer(ev.TimeLeft, timer{kind: requestDeadline, request: r})
 }
 
 // onRequestWritten handles that the last byte of an incomplete request has been sent. An endpoint starts a request when
-// it has received the last byte. Until then the request is not in the endpoint's queue, and the time that the client
-// needs to send it says nothing about the endpoint.
+// it has received the last byte. Until then the request is not in the endpoint's queue, and neither the time that the
+// client needs to send it nor the time in which the endpoint takes it says anything about that queue.
 func (b *Balancer) onRequestWritten(ev *RequestWritten) {
 	r := b.requests[ev.Request]
 	if r == nil || ev.Attempt != len(r.attempts)-1 {
@@ -157,6 +156,7 @@
 		return
 	}
 	r.notReplayable = true
+	r.arrived = b.now
 	a.incomplete = false
 	a.sentAt = b.now
 	a.queueAtSend = b.queueEstimate(a.endpoint)
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -35,6 +35,7 @@
 	if e.inFlight != 0 {
 		t.Errorf("in flight %v before the last byte is sent, want 0", e.inFlight)
 	}
+	at += 800 * time.Millisecond // the endpoint takes the body slowly
 	b.Handle(at, RequestWritten{Request: "a"}, nil)
 	if e.inFlight != 1 {
 		t.Errorf("in flight %v after the last byte, want 1", e.inFlight)
