--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -31,22 +31,26 @@
 		t.Errorf("in flight %v before the last byte, want 0", e.inFlight)
 	}
 	at := 9 * time.Second // much longer than the client waits
-	out := b.Handle(at, RequestReceived{Request: "a", TimeLeft: time.Second}, nil)
+	const timeLeft = 3 * time.Second
+	out := b.Handle(at, RequestReceived{Request: "a", TimeLeft: timeLeft}, nil)
 	if e.inFlight != 0 {
 		t.Errorf("in flight %v before the last byte is sent, want 0", e.inFlight)
 	}
-	at += 800 * time.Millisecond // the endpoint takes the body slowly
+	at += 2 * time.Second // the endpoint takes the body slowly, longer than the latency objective
 	b.Handle(at, RequestWritten{Request: "a"}, nil)
 	if e.inFlight != 1 {
 		t.Errorf("in flight %v after the last byte, want 1", e.inFlight)
 	}
 	hasTimer := false
 	for _, a := range out {
-		hasTimer = hasTimer || a.Kind == SetTimer && a.Delay == time.Second
+		hasTimer = hasTimer || a.Kind == SetTimer && a.Delay == timeLeft
 	}
 	if !hasTimer {
 		t.Errorf("no timer for the deadline: %+v", out)
 	}
+	if arrived := b.requests["a"].arrived; arrived != at {
+		t.Errorf("the latency counts from %v, want %v, when the last byte was sent", arrived, at)
+	}
 	budget := b.queueBudget.fraction
 	b.Handle(at+20*time.Millisecond, AttemptEnded{Request: "a", Endpoint: e.ID, Elapsed: 20 * time.Millisecond,
 		Final: true}, nil)
