--- a/internal/lab/soak_scenario.go
+++ b/internal/lab/soak_scenario.go
@@ -46,6 +46,7 @@
 		scenario.Load.SplitRequestShare = 0
 		scenario.Load.SlowBodyShare = 0
 		scenario.Load.LongBodyShare = 0
+		scenario.Backend.StopReadingShare = 0
 		scenario.Load.StalledClients = false
 	}
 	scenario.Faults = drawSoak(scenario)
